--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -8,7 +8,7 @@
 import {execFileSync} from 'node:child_process';
 import fs from 'node:fs';
 import {createRequire} from 'node:module';
-import esbuild from 'esbuild';
+import {bundle} from './bundling.mjs';
 
 const require = createRequire(import.meta.url);
 const BUNDLE = 'dist/boragemill.cjs';
@@ -16,26 +16,6 @@
 const STAMP = 'dist/boragemill.sha256';
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-async function bundle() {
-  const {version} = JSON.parse(fs.readFileSync('package.json', 'utf8'));
-  await esbuild.build({
-    entryPoints: ['src/main.ts'],
-    outfile: BUNDLE,
-    bundle: true,
-    platform: 'node',
-    format: 'cjs',
-    target: 'node20',
-    // Comments outside ASCII make V8 hold the source with two bytes a
-    // character. Names stay as they are, for stack traces.
-    minifyWhitespace: true,
-    minifySyntax: true,
-    mainFields: ['module', 'main'],
-    external: ['unix-dgram'],
-    define: {BORAGEMILL_VERSION: JSON.stringify(version)},
-    logLevel: 'warning',
-  });
-}
-
 function stampOf(path) {
   return createHash('sha256').update(fs.readFileSync(path)).digest('hex');
 }
@@ -69,7 +49,7 @@
   fs.chmodSync(BINARY, 0o755);
 }
 
-await bundle();
+await bundle(BUNDLE);
 const stamp = stampOf(BUNDLE);
 if (!isCurrent(stamp)) {
   inject();
--- /dev/null
+++ b/src/cli/platform.ts
@@ -0,0 +1,85 @@
+/**
+ * Starts a program of the platform from the settings that it has written, and
+ * stops it at a signal.
+ */
+import fs from 'node:fs';
+import {
+  Deployment,
+  parseDeployment,
+  SETTINGS_VARIABLE,
+} from '../../platform/settings';
+import {CommandError, EXIT} from '../kernel/errors';
+import {enableLogs, Level, logFor} from '../observe/log';
+import {wirePlatformEntry, wirePlatformSidecar} from '../wiring-platform';
+
+export interface PlatformOptions {
+  readonly settings?: string;
+  readonly check?: boolean;
+  readonly logLevel: Level;
+}
+
+/** What a program does between its start and its end. */
+export interface Program {
+  start(): Promise<void>;
+  /** Finishes running work and returns when the process may end. */
+  stop(): Promise<void>;
+  /** Takes over settings that have changed. */
+  reload(deployment: Deployment): void;
+}
+
+type Wire = (deployment: Deployment) => Program;
+
+const WIRES: Readonly<Record<'entry' | 'sidecar', Wire>> = {
+  entry: wirePlatformEntry,
+  sidecar: wirePlatformSidecar,
+};
+
+export async function runPlatform(
+  role: 'entry' | 'sidecar',
+  options: PlatformOptions,
+): Promise<void> {
+  const file = options.settings ?? process.env[SETTINGS_VARIABLE];
+  if (file === undefined) {
+    const message = `no settings; give --settings or set ${SETTINGS_VARIABLE}`;
+    throw new CommandError(message, EXIT.usage);
+  }
+  const deployment = readDeployment(file);
+  if (options.check) {
+    process.stdout.write(`${file}: settings are valid\n`);
+    return;
+  }
+  enableLogs(options.logLevel);
+  const log = logFor('process', {instance: deployment.instance});
+  const program = WIRES[role](deployment);
+  let stopping = false;
+  const stop = async () => {
+    if (stopping) return;
+    stopping = true;
+    log('info', 'stopping');
+    await program.stop();
+    log('info', 'stopped');
+    process.exit(EXIT.done);
+  };
+  process.on('SIGTERM', () => void stop());
+  process.on('SIGINT', () => void stop());
+  process.on('SIGHUP', () => {
+    try {
+      program.reload(readDeployment(file));
+      log('info', 'settings reloaded');
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log('error', 'settings kept', {reason});
+    }
+  });
+  await program.start();
+  log('info', 'started', {role, zone: deployment.zone});
+}
+
+function readDeployment(file: string): Deployment {
+  try {
+    return parseDeployment(fs.readFileSync(file, 'utf8'));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new CommandError(`${file}: ${reason}`, EXIT.usage);
+  }
+}
--- /dev/null
+++ b/src/gateway/load.ts
@@ -0,0 +1,79 @@
+/**
+ * The load of each endpoint, as far as this gateway knows it.
+ *
+ * A sidecar's report counts the requests of all gateways, but is some hundred
+ * milliseconds old. What this gateway has in flight is exact. The estimate
+ * is its own requests now plus the others' at the time of the report.
+ */
+import {Map} from 'immutable';
+import {EndpointLoad} from './model';
+
+interface Load {
+  /** Requests of this gateway in flight. */
+  readonly own: number;
+  /** Requests of other gateways at the last report. */
+  readonly others: number;
+  /** False while its group was broken at the last report. */
+  readonly open: boolean;
+  readonly pass: number;
+  readonly heardMs: number;
+}
+
+export type Loads = Map<string, Load>;
+
+/**
+ * Age up to which a report counts: six reports may be lost before a gateway
+ * falls back on its own count.
+ */
+const FRESH_MS = 1_500;
+
+const UNKNOWN: Load = {
+  own: 0,
+  others: 0,
+  open: true,
+  pass: 0,
+  heardMs: -Infinity,
+};
+
+export const noLoads: Loads = Map();
+
+export function sent(loads: Loads, id: string): Loads {
+  const load = loads.get(id, UNKNOWN);
+  return loads.set(id, {...load, own: load.own + 1});
+}
+
+export function finished(loads: Loads, id: string): Loads {
+  const load = loads.get(id, UNKNOWN);
+  return loads.set(id, {...load, own: Math.max(0, load.own - 1)});
+}
+
+export function reported(
+  loads: Loads,
+  report: EndpointLoad,
+  nowMs: number,
+): Loads {
+  const {own} = loads.get(report.id, UNKNOWN);
+  const others = Math.max(0, report.running + report.queued - own);
+  const {open, pass} = report;
+  return loads.set(report.id, {own, others, open, pass, heardMs: nowMs});
+}
+
+/** Requests at the endpoint, as far as known. */
+export function requestsAt(loads: Loads, id: string, nowMs: number): number {
+  const {own, others, heardMs} = loads.get(id, UNKNOWN);
+  return nowMs - heardMs <= FRESH_MS ? own + others : own;
+}
+
+/** False only where a fresh report says that its group is broken. */
+export function isOpen(loads: Loads, id: string, nowMs: number): boolean {
+  const {open, heardMs} = loads.get(id, UNKNOWN);
+  return open || nowMs - heardMs > FRESH_MS;
+}
+
+/** Forgets endpoints that are gone and have nothing in flight. */
+export function retained(
+  loads: Loads,
+  known: {has(id: string): boolean},
+): Loads {
+  return loads.filter((load, id) => load.own > 0 || known.has(id));
+}
--- /dev/null
+++ b/src/gateway/loads.ts
@@ -0,0 +1,168 @@
+/**
+ * Load reports between the processes, by UDP.
+ *
+ * A gateway subscribes at the sidecar of each endpoint every second. A sidecar
+ * sends its endpoint's load to the gateways that subscribed of late, together
+ * with their number, so that they can divide shared bounds. A lost datagram
+ * is replaced by the next one.
+ */
+import dgram from 'node:dgram';
+import {z} from 'zod';
+import {Clock, every, Timer} from '../kernel/clock';
+import {Log} from '../observe/log';
+
+export interface LoadReport {
+  /** Address of the endpoint. */
+  readonly address: string;
+  readonly running: number;
+  readonly queued: number;
+  readonly open: boolean;
+  readonly pass: number;
+  /** Gateways that receive this report. */
+  readonly gateways: number;
+}
+
+const message = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('subscribe')}),
+  z.object({
+    kind: z.literal('load'),
+    address: z.string(),
+    running: z.number().min(0),
+    queued: z.number().min(0),
+    open: z.boolean(),
+    pass: z.number(),
+    gateways: z.number().int().min(0),
+  }),
+]);
+
+type Message = z.infer<typeof message>;
+
+/** Time between subscriptions, in milliseconds. */
+const SUBSCRIBE_MS = 1_000;
+/** Three subscriptions may be lost before a gateway is forgotten. */
+const SUBSCRIBED_MS = 4_000;
+
+export interface Peer {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** A UDP socket for messages between the processes. */
+export class Datagrams {
+  private readonly socket = dgram.createSocket('udp4');
+
+  constructor(
+    private readonly handle: (message: Message, from: Peer) => void,
+    private readonly log: Log,
+  ) {
+    this.socket.on('message', (bytes, {address: host, port}) => {
+      const read = parsed(bytes);
+      if (read) this.handle(read, {host, port});
+      else this.log('debug', 'datagram not readable', {host, port});
+    });
+    this.socket.on('error', error =>
+      this.log('warn', 'datagram socket failed', {reason: error.message}),
+    );
+  }
+
+  listen({host, port}: Peer): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(port, host, resolve);
+    });
+  }
+
+  send(body: Message, {host, port}: Peer): void {
+    this.socket.send(JSON.stringify(body), port, host, error => {
+      if (!error) return;
+      this.log('debug', 'datagram not sent', {host, reason: error.message});
+    });
+  }
+
+  close(): void {
+    this.socket.close();
+  }
+}
+
+function parsed(bytes: Buffer): Message | undefined {
+  try {
+    return message.parse(JSON.parse(bytes.toString()));
+  } catch {
+    return undefined;
+  }
+}
+
+/** The gateway's side: subscribes at all sidecars and hands on reports. */
+export class LoadSubscriber {
+  private timer: Timer | undefined;
+  private readonly datagrams: Datagrams;
+
+  constructor(
+    private readonly parts: {
+      readonly self: Peer;
+      /** Hosts on which sidecars may run. */
+      readonly hosts: () => readonly string[];
+      readonly accept: (report: LoadReport) => void;
+      readonly clock: Clock;
+      readonly log: Log;
+    },
+  ) {
+    this.datagrams = new Datagrams(body => {
+      if (body.kind === 'load') this.parts.accept(body);
+    }, parts.log);
+  }
+
+  async start(): Promise<void> {
+    await this.datagrams.listen(this.parts.self);
+    this.timer = every(this.parts.clock, SUBSCRIBE_MS, () => this.subscribe());
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+    this.datagrams.close();
+  }
+
+  private subscribe(): void {
+    const {port} = this.parts.self;
+    for (const host of this.parts.hosts()) {
+      this.datagrams.send({kind: 'subscribe'}, {host, port});
+    }
+  }
+}
+
+/** The sidecar's side: sends each report to all subscribers. */
+export class LoadPublisher {
+  private readonly datagrams: Datagrams;
+  private readonly subscribers = new Map<string, Peer & {heardMs: number}>();
+
+  constructor(
+    private readonly self: Peer,
+    private readonly clock: Clock,
+    log: Log,
+  ) {
+    this.datagrams = new Datagrams((body, from) => {
+      if (body.kind !== 'subscribe') return;
+      const heardMs = this.clock.elapsedMs();
+      this.subscribers.set(from.host, {...from, heardMs});
+    }, log);
+  }
+
+  start(): Promise<void> {
+    return this.datagrams.listen(this.self);
+  }
+
+  stop(): void {
+    this.datagrams.close();
+  }
+
+  publish(report: Omit<LoadReport, 'gateways'>): void {
+    const nowMs = this.clock.elapsedMs();
+    for (const [host, {heardMs}] of this.subscribers) {
+      if (nowMs - heardMs > SUBSCRIBED_MS) this.subscribers.delete(host);
+    }
+    const gateways = this.subscribers.size;
+    for (const peer of this.subscribers.values()) {
+      this.datagrams.send({kind: 'load', ...report, gateways}, peer);
+    }
+  }
+}
--- /dev/null
+++ b/src/wiring-platform.ts
@@ -0,0 +1,190 @@
+/**
+ * How the parts of the platform's programs are joined. Beside `wiring.ts` this
+ * is the one module that knows the adapter.
+ */
+import http from 'node:http';
+import {platformHeaders} from '../platform/headers';
+import {Deployment} from '../platform/settings';
+import {storeClient} from '../platform/store';
+import {endpointTable, operatorTable} from '../platform/tables';
+import {PlacementDesk} from './gateway/desk';
+import {Exchange} from './gateway/exchange';
+import {Front} from './gateway/front';
+import {LoadPublisher, LoadSubscriber} from './gateway/loads';
+import {listenAt, readinessServer} from './gateway/readiness';
+import {Watch} from './gateway/watch';
+import {Clock, systemClock} from './kernel/clock';
+import {logFor} from './observe/log';
+import {Program} from './cli/platform';
+
+/** Longest wait of a poll of the operator's table; bounds a proof's age. */
+const OPERATOR_WAIT_MS = 1_500;
+/** Longest wait of a poll of the endpoints' table. */
+const ENDPOINT_WAIT_MS = 3_000;
+
+/**
+ * Part of the revocation time after which a configuration that could not be
+ * confirmed no longer vouches for keys. The rest covers the request's way.
+ */
+const STALE_SHARE = 0.7;
+
+/** Time for which a stopping entry still takes requests, in milliseconds. */
+const DRAIN_MS = 3_000;
+/** Time that is left for the end of the process before it is killed. */
+const END_MARGIN_MS = 500;
+const POLL_MS = 50;
+
+/** The program that serves callers. */
+export function wirePlatformEntry(
+  deployment: Deployment,
+  clock: Clock = systemClock,
+): Program {
+  const {instance, zone, bounds, ip, peerPort} = deployment;
+  const log = logFor('entry', {instance, zone});
+  const store = storeClient(deployment.store);
+  const desk = new PlacementDesk(
+    {zone, retryRatio: bounds.retryRatio, retrySlack: bounds.retrySlack},
+    clock,
+    log,
+    ({incoming: {call, route, account, arrivedMs}}, ended) => {
+      const ms = Math.round(clock.elapsedMs() - arrivedMs);
+      log('info', 'request', {
+        request: call.requestId,
+        route: route.name,
+        account: account?.name,
+        outcome: ended.outcome,
+        status: ended.status,
+        ms,
+        tries: ended.tries
+          .map(t => `${t.endpoint}:${t.outcome}:${t.ms}:${t.reason ?? ''}`)
+          .join(' '),
+      });
+    },
+  );
+  const front = new Front({
+    headers: platformHeaders,
+    clock,
+    log,
+    catalog: () => desk.current(),
+    submit: incoming =>
+      desk.submit(
+        new Exchange(incoming, desk, {headers: platformHeaders, clock, log}),
+      ),
+    staleMs: bounds.failClosed ? bounds.revokeMs * STALE_SHARE : Infinity,
+    random: Math.random,
+  });
+  const operator = new Watch(
+    operatorTable(store, log),
+    {
+      accept(change, whole, provedMs) {
+        desk.operatorChanged(change, whole, provedMs);
+        const idleMs = desk.current().configuration?.limits.idleMs;
+        if (idleMs !== undefined) front.setIdle(idleMs);
+      },
+      confirm: provedMs => desk.operatorConfirmed(provedMs),
+    },
+    OPERATOR_WAIT_MS,
+    clock,
+    log,
+  );
+  const endpoints = new Watch(
+    endpointTable(store, log),
+    {
+      accept: (change, whole) => desk.endpointsChanged(change, whole),
+      confirm: () => undefined,
+    },
+    ENDPOINT_WAIT_MS,
+    clock,
+    log,
+  );
+  const loads = new LoadSubscriber({
+    self: {host: ip, port: peerPort},
+    hosts: () => hostsOf(desk),
+    accept: report => {
+      const found = desk
+        .current()
+        .endpoints.find(e => e.address === report.address);
+      if (found) desk.loadReported({...report, id: found.id}, report.gateways);
+    },
+    clock,
+    log,
+  });
+  const readiness: http.Server = readinessServer(() => front.ready());
+  return {
+    async start() {
+      void operator.run();
+      void endpoints.run();
+      await loads.start();
+      if (deployment.readiness) await listenAt(readiness, deployment.readiness);
+      if (deployment.callers) await front.listen(deployment.callers);
+    },
+    async stop() {
+      front.drain();
+      const endMs = clock.elapsedMs() + bounds.graceMs - END_MARGIN_MS;
+      await pause(clock, DRAIN_MS);
+      front.close();
+      while (desk.inFlight > 0 && clock.elapsedMs() < endMs) {
+        await pause(clock, POLL_MS);
+      }
+      operator.stop();
+      endpoints.stop();
+    },
+    reload() {},
+  };
+}
+
+/** Hosts of endpoints that may have a sidecar: those of model engines. */
+function hostsOf(desk: PlacementDesk): readonly string[] {
+  const {endpoints, services} = desk.current();
+  const hosts = endpoints
+    .valueSeq()
+    .filter(e => services.get(e.service)?.engine !== undefined)
+    .map(e => e.address.slice(0, e.address.indexOf(':')));
+  return [...new Set(hosts)];
+}
+
+/** The program beside a model endpoint. */
+export function wirePlatformSidecar(
+  deployment: Deployment,
+  clock: Clock = systemClock,
+): Program {
+  const {instance, zone, ip, peerPort} = deployment;
+  const log = logFor('sidecar', {instance, zone});
+  const publisher = new LoadPublisher({host: ip, port: peerPort}, clock, log);
+  return {
+    async start() {
+      await publisher.start();
+      setInterval(() => {
+        http
+          .get(`http://${deployment.endpoint}/boragemill/report`, res => {
+            let text = '';
+            res.on('data', d => (text += d));
+            res.on('end', () => log('info', 'report', {text}));
+          })
+          .on('error', e => log('warn', 'report', {reason: e.message}));
+        http
+          .get(`http://${deployment.endpoint}/boragemill/picked?lists=1`, res => {
+            let text = '';
+            res.on('data', d => (text += d));
+            res.on('end', () => log('info', 'picked', {text}));
+          })
+          .on('error', e => log('warn', 'picked', {reason: e.message}));
+        http
+          .get(`http://${deployment.endpoint}/boragemill/picked`, res => {
+            let text = '';
+            res.on('data', d => (text += d));
+            res.on('end', () => log('info', 'picked', {text}));
+          })
+          .on('error', e => log('warn', 'picked', {reason: e.message}));
+      }, 2000);
+    },
+    async stop() {
+      publisher.stop();
+    },
+    reload() {},
+  };
+}
+
+function pause(clock: Clock, ms: number): Promise<void> {
+  return new Promise(done => clock.after(ms, done));
+}
