--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 const gts = require('gts');
 
 module.exports = defineConfig([
-  globalIgnores(['dist/', 'node_modules/']),
+  globalIgnores(['dist/', 'target/', 'node_modules/']),
   {extends: [...gts]},
   {
     files: ['scripts/**/*.mjs'],
--- a/src/gateway/desk.ts
+++ b/src/gateway/desk.ts
@@ -121,7 +121,11 @@
     this.catalog = endpointsChanged(this.catalog, change, whole, nowMs);
     this.loads = retained(this.loads, this.catalog.endpoints);
     for (const [id, endpoint] of change) {
-      const state = endpoint ? (endpoint.draining ? 'draining' : 'ready') : 'gone';
+      const state = endpoint
+        ? endpoint.draining
+          ? 'draining'
+          : 'ready'
+        : 'gone';
       this.log('info', 'endpoint', {
         endpoint: id,
         state,
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -32,7 +32,8 @@
   }
 
   push(chunk: Buffer): Piece {
-    const bytes = this.rest.length > 0 ? Buffer.concat([this.rest, chunk]) : chunk;
+    const bytes =
+      this.rest.length > 0 ? Buffer.concat([this.rest, chunk]) : chunk;
     const whole: Buffer[] = [];
     let start = 0;
     for (let end = eventEnd(bytes, 0); end > 0; end = eventEnd(bytes, start)) {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -135,7 +135,7 @@
 
   /** Sends the request to an endpoint. */
   send(endpoint: Registration): void {
-    const {req, call, account, body, route} = this.incoming;
+    const {req, account, body, route} = this.incoming;
     const {clock, headers} = this.parts;
     const leftMs = Math.floor(this.deadlineMs - clock.elapsedMs());
     this.endpoint = endpoint;
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -134,7 +134,8 @@
       }
     }
     const service = pickService(route, this.parts.random);
-    if (service === undefined) return refusal(503, 'no service', RETRY_START_MS);
+    if (service === undefined)
+      return refusal(503, 'no service', RETRY_START_MS);
     readBody(req, configuration.limits.bodyBytes, outcome => {
       if (outcome === 'gone') return;
       if (outcome === 'large') return refusal(413, 'body too large');
@@ -166,10 +167,7 @@
 }
 
 /** Draws a service of the route by weight. */
-function pickService(
-  {split}: Route,
-  random: () => number,
-): string | undefined {
+function pickService({split}: Route, random: () => number): string | undefined {
   const total = split.reduce((sum, s) => sum + s.weight, 0);
   let at = random() * total;
   for (const {service, weight} of split) {
@@ -209,4 +207,3 @@
   req.on('error', () => finish('gone'));
   req.on('close', () => finish('gone'));
 }
-
--- /dev/null
+++ b/src/ranks/change.ts
@@ -0,0 +1,516 @@
+/**
+ * One change of a group's expert map, as a pure decision.
+ *
+ * All ranks must switch with the same pass. The coordinator prepares a map at
+ * every rank and waits until each holds it. It then holds its own rank at a
+ * pass ahead, so that the pass cannot begin, arms every rank for that pass and
+ * lets its rank go only when all are known to be armed.
+ *
+ * An order without an answer may be carried out seconds later, and orders
+ * carry no fence that a rank would check. Three facts replace it. Versions are
+ * never used twice, so a late order can only concern its own change. A rank
+ * that has taken a higher version refuses to arm a lower one, so preparing
+ * the map in use under a higher version cancels an order to arm that is still
+ * on its way. And each coordinator holds its own rank: one that clears up
+ * after another holds its own rank at the same pass first, so that the other,
+ * should it wake up and go on, cannot start the pass with ranks half cleared.
+ *
+ * Load pattern: answers of orders are lost for seconds. Preparing needs every
+ * answer, so a change is given up before the group is held.
+ */
+import {OrderOutcome, RankMap, RankOrder, RankReport} from './rank';
+
+export interface Preparing {
+  readonly kind: 'preparing';
+  readonly accepted: ReadonlySet<number>;
+  readonly untilMs: number;
+}
+
+export interface Holding {
+  readonly kind: 'holding';
+  readonly pass: number;
+  readonly untilMs: number;
+}
+
+export interface Arming {
+  readonly kind: 'arming';
+  readonly pass: number;
+  readonly armed: ReadonlySet<number>;
+  readonly untilMs: number;
+}
+
+/** Makes sure that nothing is armed or can be, then lets the group go. */
+export interface Clearing {
+  readonly kind: 'clearing';
+  readonly pass: number;
+  /** Whether the own rank is known to be held at the pass. */
+  readonly secured: boolean;
+  /** Only versions above this one, given since clearing began, count. */
+  readonly above: number;
+  /** Ranks that took a version above all that may be armed. */
+  readonly cleared: ReadonlySet<number>;
+  /** Other ranks that were held at the pass when clearing began. */
+  readonly others: readonly number[];
+  readonly againMs: number;
+}
+
+/** Lets held ranks go until none reports the hold any more. */
+export interface Releasing {
+  readonly kind: 'releasing';
+  readonly pass: number;
+  readonly held: ReadonlySet<number>;
+  readonly againMs: number;
+  readonly changed: boolean;
+}
+
+export interface Idle {
+  readonly kind: 'idle';
+  /** Time before which no change may begin. */
+  readonly restUntilMs: number;
+}
+
+export type Phase = Idle | Preparing | Holding | Arming | Clearing | Releasing;
+
+export interface ChangeState {
+  /** Rank of the coordinator. */
+  readonly own: number;
+  readonly size: number;
+  readonly epoch: number;
+  readonly phase: Phase;
+  /** Version of the change; all versions given before are lower. */
+  readonly version: number;
+  readonly target: RankMap | undefined;
+  /** Pass of the last hold; a later one is always higher. */
+  readonly lastPass: number;
+  /** The newest report of each rank. */
+  readonly reports: ReadonlyMap<number, RankReport>;
+  /** Since when a hold that is not this coordinator's was seen. */
+  readonly foreignSinceMs: number | undefined;
+}
+
+export type Input =
+  | {readonly kind: 'begin'; readonly target: RankMap}
+  | {
+      readonly kind: 'answer';
+      readonly rank: number;
+      readonly order: RankOrder;
+      readonly outcome: OrderOutcome;
+    }
+  | {readonly kind: 'report'; readonly report: RankReport}
+  | {readonly kind: 'tick'};
+
+export interface Order {
+  readonly rank: number;
+  readonly epoch: number;
+  readonly order: RankOrder;
+}
+
+export interface Circumstances {
+  readonly nowMs: number;
+  /** The map in use, as reported by all ranks; undefined if not known. */
+  readonly inUse: RankMap | undefined;
+  /** A number from 0 up to 1. */
+  readonly random: () => number;
+}
+
+/** Longest time for all ranks to take a map and copy its experts, in ms. */
+const PREPARE_MS = 10_000;
+/** Time in which each rank must answer that it copies, in ms. */
+const ACCEPT_MS = 800;
+/** Longest time for an order that stops the group, in milliseconds. */
+const ANSWER_MS = 150;
+/** Time between repeated orders while the group is held, in ms. */
+const AGAIN_MS = 100;
+/** Rest after a change that failed, in milliseconds. */
+const REST_MS = 2_000;
+/** A hold of another coordinator that lasts this long is left over, in ms. */
+const FOREIGN_MS = 400;
+
+/**
+ * Passes between the last one begun and the one to switch with. One pass
+ * takes about 50 ms, and the orders to arm need about 10 ms.
+ */
+const AHEAD = 2;
+
+/** Versions that one coordinator skips at most, so that none is used twice. */
+const VERSION_SPREAD = 1_024;
+
+export function initialChange(
+  own: number,
+  size: number,
+  epoch: number,
+): ChangeState {
+  return {
+    own,
+    size,
+    epoch,
+    phase: {kind: 'idle', restUntilMs: 0},
+    version: 0,
+    target: undefined,
+    lastPass: -1,
+    reports: new Map(),
+    foreignSinceMs: undefined,
+  };
+}
+
+interface Result {
+  readonly state: ChangeState;
+  readonly orders: readonly Order[];
+}
+
+export function decideChange(
+  state: ChangeState,
+  input: Input,
+  around: Circumstances,
+): Result {
+  switch (input.kind) {
+    case 'begin':
+      return begin(state, input.target, around);
+    case 'answer':
+      return answered(state, input.rank, input.order, input.outcome, around);
+    case 'report':
+      return reportSeen(state, input.report, around);
+    case 'tick':
+      return ticked(state, around);
+  }
+}
+
+/** Whether a new change may begin now. */
+export function mayBegin(state: ChangeState, nowMs: number): boolean {
+  const {phase, reports, size} = state;
+  if (phase.kind !== 'idle' || nowMs < phase.restUntilMs) return false;
+  if (reports.size !== size) return false;
+  return [...reports.values()].every(
+    r => r.open && r.held === undefined && r.armed === undefined,
+  );
+}
+
+function begin(
+  state: ChangeState,
+  target: RankMap,
+  {nowMs, random}: Circumstances,
+): Result {
+  if (!mayBegin(state, nowMs)) return {state, orders: []};
+  const version = nextVersion(state, random);
+  const phase: Preparing = {
+    kind: 'preparing',
+    accepted: new Set(),
+    untilMs: nowMs + ACCEPT_MS,
+  };
+  const next = {...state, phase, version, target};
+  return {state: next, orders: toAll(next, prepareOrder(version, target))};
+}
+
+function prepareOrder(version: number, map: RankMap): RankOrder {
+  return {kind: 'prepare', version, map};
+}
+
+/** Above all versions known, and of the coordinator's rank only. */
+function nextVersion(state: ChangeState, random: () => number): number {
+  let highest = state.version;
+  for (const {map, prepared = 0, armed = 0} of state.reports.values()) {
+    highest = Math.max(highest, map, prepared, armed);
+  }
+  const skipped = 1 + Math.floor(random() * VERSION_SPREAD);
+  const round = Math.floor(highest / state.size) + skipped;
+  return round * state.size + state.own;
+}
+
+function toAll(state: ChangeState, order: RankOrder): readonly Order[] {
+  return Array.from({length: state.size}, (_, rank) =>
+    orderFor(state, rank, order),
+  );
+}
+
+function orderFor(state: ChangeState, rank: number, order: RankOrder): Order {
+  return {rank, epoch: state.epoch, order};
+}
+
+function rested(state: ChangeState, nowMs: number): Result {
+  const phase: Idle = {kind: 'idle', restUntilMs: nowMs + REST_MS};
+  return {state: {...state, phase, target: undefined}, orders: []};
+}
+
+function answered(
+  state: ChangeState,
+  rank: number,
+  order: RankOrder,
+  outcome: OrderOutcome,
+  around: Circumstances,
+): Result {
+  const {phase} = state;
+  switch (phase.kind) {
+    case 'preparing':
+      if (order.kind !== 'prepare' || order.version !== state.version) break;
+      return prepareAnswered(state, phase, rank, outcome, around);
+    case 'holding':
+      if (order.kind !== 'hold' || order.pass !== phase.pass) break;
+      return holdAnswered(state, phase, outcome, around);
+    case 'arming':
+      if (order.kind !== 'arm' || order.version !== state.version) break;
+      if (outcome === 'accepted') return armed(state, phase, rank, around);
+      if (outcome === 'refused') return clear(state, phase.pass, true, around);
+      break;
+    case 'clearing':
+      return clearingAnswered(state, phase, rank, order, outcome, around);
+  }
+  return {state, orders: []};
+}
+
+function prepareAnswered(
+  state: ChangeState,
+  phase: Preparing,
+  rank: number,
+  outcome: OrderOutcome,
+  around: Circumstances,
+): Result {
+  // Answers are being lost; do not go on to orders that stop the group.
+  if (outcome !== 'accepted') return rested(state, around.nowMs);
+  const accepted = new Set([...phase.accepted, rank]);
+  const untilMs =
+    accepted.size === state.size ? around.nowMs + PREPARE_MS : phase.untilMs;
+  return {state: {...state, phase: {...phase, accepted, untilMs}}, orders: []};
+}
+
+function holdAnswered(
+  state: ChangeState,
+  phase: Holding,
+  outcome: OrderOutcome,
+  around: Circumstances,
+): Result {
+  if (outcome === 'refused') {
+    // The pass has begun; the next reports name a later one.
+    const all = Array.from({length: state.size}, (_, rank) => rank);
+    const accepted = new Set(all);
+    const untilMs = around.nowMs + ACCEPT_MS;
+    const preparing: Preparing = {kind: 'preparing', accepted, untilMs};
+    return {state: {...state, phase: preparing}, orders: []};
+  }
+  // A hold that may come late is seen in the reports and cleared then.
+  if (outcome === 'unknown') return rested(state, around.nowMs);
+  const next: ChangeState = {
+    ...state,
+    phase: {
+      kind: 'arming',
+      pass: phase.pass,
+      armed: new Set(),
+      untilMs: around.nowMs + ANSWER_MS,
+    },
+  };
+  const {version} = state;
+  return {
+    state: next,
+    orders: toAll(next, {kind: 'arm', version, pass: phase.pass}),
+  };
+}
+
+function armed(
+  state: ChangeState,
+  phase: Arming,
+  rank: number,
+  {nowMs}: Circumstances,
+): Result {
+  const ranks = new Set([...phase.armed, rank]);
+  if (ranks.size < state.size) {
+    const next: ChangeState = {...state, phase: {...phase, armed: ranks}};
+    return {state: next, orders: []};
+  }
+  return release(state, phase.pass, [state.own], true, nowMs);
+}
+
+function release(
+  state: ChangeState,
+  pass: number,
+  ranks: readonly number[],
+  changed: boolean,
+  nowMs: number,
+): Result {
+  const phase: Releasing = {
+    kind: 'releasing',
+    pass,
+    held: new Set(ranks),
+    againMs: nowMs + AGAIN_MS,
+    changed,
+  };
+  const orders = ranks.map(r => orderFor(state, r, {kind: 'go', pass}));
+  return {state: {...state, phase}, orders};
+}
+
+/** Begins to cancel what is armed or may be armed late. */
+function clear(
+  state: ChangeState,
+  pass: number,
+  secured: boolean,
+  around: Circumstances,
+  others: readonly number[] = [],
+): Result {
+  const phase: Clearing = {
+    kind: 'clearing',
+    pass,
+    secured,
+    above: state.version,
+    cleared: new Set(),
+    others,
+    againMs: 0,
+  };
+  const next = {...state, phase, lastPass: Math.max(state.lastPass, pass)};
+  return clearStep(next, phase, around);
+}
+
+/** Repeats what is still to be confirmed. */
+function clearStep(
+  state: ChangeState,
+  phase: Clearing,
+  {nowMs, inUse, random}: Circumstances,
+): Result {
+  const again = {...phase, againMs: nowMs + AGAIN_MS};
+  if (!phase.secured) {
+    const hold = orderFor(state, state.own, {kind: 'hold', pass: phase.pass});
+    return {state: {...state, phase: again}, orders: [hold]};
+  }
+  if (!inUse) return {state: {...state, phase: again}, orders: []};
+  const version = nextVersion(state, random);
+  const orders: Order[] = [];
+  for (let rank = 0; rank < state.size; rank++) {
+    if (phase.cleared.has(rank)) continue;
+    const armed = state.reports.get(rank)?.armed ?? phase.above;
+    orders.push(orderFor(state, rank, {kind: 'disarm', version: armed}));
+    orders.push(orderFor(state, rank, prepareOrder(version, inUse)));
+  }
+  return {state: {...state, phase: again, version}, orders};
+}
+
+function clearingAnswered(
+  state: ChangeState,
+  phase: Clearing,
+  rank: number,
+  order: RankOrder,
+  outcome: OrderOutcome,
+  around: Circumstances,
+): Result {
+  if (order.kind === 'hold' && order.pass === phase.pass) {
+    // The pass has begun, or this rank is held at another one.
+    if (outcome === 'refused') return rested(state, around.nowMs);
+    if (outcome === 'unknown') return {state, orders: []};
+    const secured: Clearing = {...phase, secured: true};
+    return clearStep({...state, phase: secured}, secured, around);
+  }
+  const counts =
+    order.kind === 'prepare' &&
+    order.version > phase.above &&
+    outcome === 'accepted' &&
+    phase.secured;
+  if (!counts) return {state, orders: []};
+  const cleared = new Set([...phase.cleared, rank]);
+  if (cleared.size < state.size) {
+    const next: ChangeState = {...state, phase: {...phase, cleared}};
+    return {state: next, orders: []};
+  }
+  const held = [...new Set([state.own, ...phase.others])];
+  return release(state, phase.pass, held, false, around.nowMs);
+}
+
+function reportSeen(
+  state: ChangeState,
+  report: RankReport,
+  around: Circumstances,
+): Result {
+  if (report.epoch !== state.epoch) return {state, orders: []};
+  const reports = new Map(state.reports).set(report.rank, report);
+  const next = {...state, reports};
+  const {phase} = next;
+  switch (phase.kind) {
+    case 'preparing':
+      return preparedSeen(next, phase, around);
+    case 'arming':
+      if (report.armed !== next.version) break;
+      return armed(next, phase, report.rank, around);
+    case 'releasing':
+      return releasedSeen(next, phase, report, around);
+    case 'idle':
+      return foreignHold(next, around);
+  }
+  return {state: next, orders: []};
+}
+
+function preparedSeen(
+  state: ChangeState,
+  phase: Preparing,
+  {nowMs}: Circumstances,
+): Result {
+  const all = [...state.reports.values()];
+  const ready =
+    phase.accepted.size === state.size &&
+    all.length === state.size &&
+    all.every(r => r.prepared === state.version);
+  if (!ready) return {state, orders: []};
+  const newest = Math.max(...all.map(r => r.pass));
+  const pass = Math.max(newest + AHEAD, state.lastPass + 1);
+  const holding: Holding = {kind: 'holding', pass, untilMs: nowMs + ANSWER_MS};
+  const next = {...state, phase: holding, lastPass: pass};
+  return {
+    state: next,
+    orders: [orderFor(next, next.own, {kind: 'hold', pass})],
+  };
+}
+
+function releasedSeen(
+  state: ChangeState,
+  phase: Releasing,
+  report: RankReport,
+  {nowMs}: Circumstances,
+): Result {
+  if (!phase.held.has(report.rank) || report.held === phase.pass) {
+    return {state, orders: []};
+  }
+  const held = new Set([...phase.held].filter(rank => rank !== report.rank));
+  if (held.size > 0) {
+    return {state: {...state, phase: {...phase, held}}, orders: []};
+  }
+  if (!phase.changed) return rested(state, nowMs);
+  const idle: Idle = {kind: 'idle', restUntilMs: nowMs};
+  return {state: {...state, phase: idle, target: undefined}, orders: []};
+}
+
+/** Clears up a hold that another coordinator left, or that came late. */
+function foreignHold(state: ChangeState, around: Circumstances): Result {
+  const held = [...state.reports.values()].filter(r => r.held !== undefined);
+  if (held.length === 0) {
+    return {state: {...state, foreignSinceMs: undefined}, orders: []};
+  }
+  const since = state.foreignSinceMs ?? around.nowMs;
+  const next = {...state, foreignSinceMs: since};
+  if (around.nowMs - since < FOREIGN_MS) return {state: next, orders: []};
+  const pass = Math.min(...held.map(r => r.held!));
+  const ranks = held.filter(r => r.held === pass).map(r => r.rank);
+  const fresh = {...next, foreignSinceMs: undefined};
+  const secured = ranks.includes(state.own);
+  return clear(fresh, pass, secured, around, ranks);
+}
+
+function ticked(state: ChangeState, around: Circumstances): Result {
+  const {phase} = state;
+  const {nowMs} = around;
+  switch (phase.kind) {
+    case 'preparing':
+      if (nowMs >= phase.untilMs) return rested(state, nowMs);
+      break;
+    case 'holding':
+      if (nowMs >= phase.untilMs) return rested(state, nowMs);
+      break;
+    case 'arming':
+      if (nowMs >= phase.untilMs) return clear(state, phase.pass, true, around);
+      break;
+    case 'clearing':
+      if (nowMs >= phase.againMs) return clearStep(state, phase, around);
+      break;
+    case 'releasing': {
+      if (nowMs < phase.againMs) break;
+      const {held, pass, changed} = phase;
+      return release(state, pass, [...held], changed, nowMs);
+    }
+    case 'idle':
+      return foreignHold(state, around);
+  }
+  return {state, orders: []};
+}
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -4,21 +4,43 @@
  */
 import http from 'node:http';
 import {platformHeaders} from '../platform/headers';
+import {engineAt} from '../platform/ranks';
 import {Deployment} from '../platform/settings';
 import {storeClient} from '../platform/store';
 import {endpointTable, operatorTable} from '../platform/tables';
+import {
+  emptyCatalog,
+  endpointsChanged,
+  operatorChanged,
+} from './gateway/catalog';
 import {PlacementDesk} from './gateway/desk';
 import {Exchange} from './gateway/exchange';
 import {Front} from './gateway/front';
 import {LoadPublisher, LoadSubscriber} from './gateway/loads';
 import {listenAt, readinessServer} from './gateway/readiness';
 import {Watch} from './gateway/watch';
-import {Clock, systemClock} from './kernel/clock';
+import {Clock, every, systemClock, Timer} from './kernel/clock';
+import {JsonCaller} from './kernel/jsoncall';
 import {logFor} from './observe/log';
 import {Program} from './cli/platform';
+import {Agent} from './ranks/agent';
+import {Coordinator} from './ranks/coordinator';
+import {member} from './ranks/members';
 
 /** Longest wait of a poll of the operator's table; bounds a proof's age. */
 const OPERATOR_WAIT_MS = 1_500;
+/** Longest wait of a sidecar's polls; it only needs its group's members. */
+const SIDECAR_WAIT_MS = 20_000;
+/** Time between a sidecar's load reports, in milliseconds. */
+const REPORT_MS = 250;
+/**
+ * Experts that are new to a rank in one change. A rank copies one after
+ * another, about 0.4 s each, and demand moves every few seconds.
+ */
+const NEW_PER_SET = 1;
+const NEW_PER_RANK = 3;
+/** Least fall of a set's smooth skew for one copied expert. */
+const GAIN_PER_COPY = 0.01;
 /** Longest wait of a poll of the endpoints' table. */
 const ENDPOINT_WAIT_MS = 3_000;
 
@@ -148,37 +170,88 @@
   deployment: Deployment,
   clock: Clock = systemClock,
 ): Program {
-  const {instance, zone, ip, peerPort} = deployment;
+  const {instance, zone, ip, peerPort, endpoint = '', service} = deployment;
   const log = logFor('sidecar', {instance, zone});
+  const store = storeClient(deployment.store);
+  const caller = new JsonCaller();
+  const agent = new Agent(engineAt(endpoint, caller), clock, log);
   const publisher = new LoadPublisher({host: ip, port: peerPort}, clock, log);
+  let catalog = emptyCatalog;
+  const operator = new Watch(
+    operatorTable(store, log),
+    {
+      accept(change, whole, provedMs) {
+        catalog = operatorChanged(catalog, change, whole, provedMs);
+      },
+      confirm: () => undefined,
+    },
+    SIDECAR_WAIT_MS,
+    clock,
+    log,
+  );
+  const endpoints = new Watch(
+    endpointTable(store, log),
+    {
+      accept(change, whole) {
+        catalog = endpointsChanged(catalog, change, whole, clock.elapsedMs());
+      },
+      confirm: () => undefined,
+    },
+    SIDECAR_WAIT_MS,
+    clock,
+    log,
+  );
+  const coordinator = new Coordinator({
+    agent,
+    addresses: () =>
+      catalog.endpoints
+        .valueSeq()
+        .filter(e => e.service === service)
+        .map(e => e.address)
+        .toArray(),
+    member: address => {
+      const host = address.slice(0, address.indexOf(':'));
+      const sidecar = `${host}:${peerPort}`;
+      return member(address, sidecar, engineAt(address, caller), caller);
+    },
+    limits: () => {
+      const experts = catalog.services.get(service ?? '')?.engine?.experts;
+      if (!experts) return undefined;
+      return {
+        sets: experts.sets,
+        slotsPerRank: experts.slotsPerRank,
+        newPerRank: Math.min(experts.newPerChange, NEW_PER_SET),
+        newPerRankTotal: NEW_PER_RANK,
+        gainPerCopy: GAIN_PER_COPY,
+      };
+    },
+    clock,
+    log,
+    random: Math.random,
+  });
+  const peers = http.createServer((req, res) => agent.handle(req, res));
+  let reports: Timer | undefined;
   return {
     async start() {
+      void operator.run();
+      void endpoints.run();
       await publisher.start();
-      setInterval(() => {
-        http
-          .get(`http://${deployment.endpoint}/boragemill/report`, res => {
-            let text = '';
-            res.on('data', d => (text += d));
-            res.on('end', () => log('info', 'report', {text}));
-          })
-          .on('error', e => log('warn', 'report', {reason: e.message}));
-        http
-          .get(`http://${deployment.endpoint}/boragemill/picked?lists=1`, res => {
-            let text = '';
-            res.on('data', d => (text += d));
-            res.on('end', () => log('info', 'picked', {text}));
-          })
-          .on('error', e => log('warn', 'picked', {reason: e.message}));
-        http
-          .get(`http://${deployment.endpoint}/boragemill/picked`, res => {
-            let text = '';
-            res.on('data', d => (text += d));
-            res.on('end', () => log('info', 'picked', {text}));
-          })
-          .on('error', e => log('warn', 'picked', {reason: e.message}));
-      }, 2000);
+      await listenAt(peers, `${ip}:${peerPort}`);
+      reports = every(clock, REPORT_MS, () => {
+        agent.report().then(
+          ({running, queued, open, pass}) =>
+            publisher.publish({address: endpoint, running, queued, open, pass}),
+          (error: unknown) =>
+            log('debug', 'no report', {reason: String(error)}),
+        );
+      });
+      coordinator.start();
     },
     async stop() {
+      await coordinator.stop();
+      reports?.cancel();
+      operator.stop();
+      endpoints.stop();
       publisher.stop();
     },
     reload() {},
