An answer without length that was reset is not passed on as whole

A reset reads as an orderly end where the error of the socket was consumed before. Ruled out: order of Node's events (the error comes first where there is one). Change: at the end of a connection the peer's address is asked for; it is gone after a reset and still there after an orderly end.

--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -55,6 +55,7 @@
   const [host = '', port = ''] = target.address.split(':');
   let over = false;
   let connected = false;
+  let reset = false;
   let response: http.IncomingMessage | undefined;
 
   const socket = net.connect({host, port: Number(port), noDelay: true});
@@ -63,6 +64,9 @@
     connected = true;
     clearTimeout(timer);
   });
+  // A reset can read as an orderly end where the error was consumed before; a
+  // connection that was reset has no peer any more.
+  socket.once('end', () => (reset = socket.remoteAddress === undefined));
   const request = http.request({
     createConnection: () => socket,
     method: target.method,
@@ -79,7 +83,7 @@
       if (!over) handlers.data(chunk);
     });
     answer.on('end', () => {
-      if (!answer.complete) return fail('the answer ended early');
+      if (!answer.complete || reset) return fail('the answer ended early');
       finish(() => handlers.end());
     });
     answer.on('error', error => fail(error.message));
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -62,7 +62,8 @@
 ): Program {
   const {instance, zone, bounds, ip, peerPort} = deployment;
   const log = logFor('entry', {instance, zone});
-  const store = storeClient(deployment.store, new JsonCaller());
+  const caller = new JsonCaller();
+  const store = storeClient(deployment.store, caller);
   const desk = new PlacementDesk(
     {zone, retryRatio: bounds.retryRatio, retrySlack: bounds.retrySlack},
     clock,
@@ -149,6 +150,9 @@
       }
       operator.stop();
       endpoints.stop();
+      loads.stop();
+      readiness.close();
+      caller.close();
     },
     reload() {},
   };
@@ -255,6 +259,8 @@
       operator.stop();
       endpoints.stop();
       publisher.stop();
+      peers.close();
+      caller.close();
     },
     reload() {},
   };
--- /dev/null
+++ b/standins/runner.ts
@@ -0,0 +1,76 @@
+/**
+ * An endpoint of the platform in test form. A test gives the behaviour for
+ * each request that arrives; what was received is kept.
+ */
+import http from 'node:http';
+import {AddressInfo} from 'node:net';
+
+export interface Arrival {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the connection was closed before the answer was whole. */
+  closed: boolean;
+}
+
+export type Behaviour = (
+  arrival: Arrival,
+  res: http.ServerResponse,
+) => void | Promise<void>;
+
+/** Headers of a whole answer to a request. */
+export function sealed(arrival: Arrival): http.OutgoingHttpHeaders {
+  const id = arrival.headers['boragemill-request-id'];
+  return {'Boragemill-Request-Id': id, 'Boragemill-Response-Seal': `s.${id}`};
+}
+
+/** Answers with a body that names the endpoint. */
+export function answering(text: string): Behaviour {
+  return (arrival, res) => {
+    res.writeHead(200, sealed(arrival));
+    res.end(text);
+  };
+}
+
+/** States that the request was not run. */
+export const full: Behaviour = (arrival, res) => {
+  res.writeHead(503, {...sealed(arrival), 'Boragemill-Not-Executed': '1'});
+  res.end();
+};
+
+export class RunnerStandin {
+  readonly arrivals: Arrival[] = [];
+  address = '';
+  private readonly server = http.createServer((req, res) => {
+    const chunks: Buffer[] = [];
+    req.on('data', (chunk: Buffer) => chunks.push(chunk));
+    req.on('end', () => {
+      const arrival: Arrival = {
+        method: req.method ?? '',
+        path: req.url ?? '',
+        headers: req.headers,
+        body: Buffer.concat(chunks).toString(),
+        closed: false,
+      };
+      res.on('close', () => (arrival.closed = !res.writableFinished));
+      this.arrivals.push(arrival);
+      void this.behaviour(arrival, res);
+    });
+  });
+
+  constructor(public behaviour: Behaviour = answering('done')) {}
+
+  async start(): Promise<void> {
+    await new Promise<void>(done =>
+      this.server.listen(0, '127.0.0.1', () => done()),
+    );
+    const {port} = this.server.address() as AddressInfo;
+    this.address = `127.0.0.1:${port}`;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/test/platformpath.test.ts
@@ -0,0 +1,467 @@
+/**
+ * The whole path of the platform's entry against stand-ins: the store, its
+ * operator, endpoints and callers, over loopback.
+ */
+import http from 'node:http';
+import net, {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {Deployment} from '../platform/settings';
+import {Program} from '../src/cli/platform';
+import {wirePlatformEntry} from '../src/wiring-platform';
+import {until} from '../standins/process';
+import {answering, full, RunnerStandin, sealed} from '../standins/runner';
+import {StoreStandin} from '../standins/store';
+
+const HOST = 'desk.example';
+const KEY = 'key-of-hydrotherm';
+
+function route(name: string, kind: string, more: object = {}): object {
+  return {
+    name,
+    host: HOST,
+    prefix: `/${name}/`,
+    kind,
+    'timeout-ms': 1_500,
+    'target-latency-ms': 400,
+    priority: 1,
+    service: 'desk',
+    'max-attempts': 2,
+    public: false,
+    ...more,
+  };
+}
+
+function configuration(version: number, keys: readonly string[]): object {
+  return {
+    version,
+    routes: [
+      route('look', 'idempotent'),
+      route('order', 'non_idempotent', {'max-attempts': 1}),
+      route('draft', 'streaming', {'stream-resume': true}),
+      route('open', 'idempotent', {public: true}),
+      route('short', 'non_idempotent', {'timeout-ms': 250}),
+    ],
+    services: [{name: 'desk', 'health-path': '/health'}],
+    limits: {'max-body-bytes': 1_000, 'idle-timeout-ms': 15_000},
+    tenants: [{name: 'hydrotherm', 'api-keys': keys, priority: 1}],
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', () => done()));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(done => server.close(done));
+  return port;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the whole answer arrived. */
+  readonly whole: boolean;
+  readonly ms: number;
+}
+
+describe('path on the platform', () => {
+  const store = new StoreStandin();
+  const first = new RunnerStandin();
+  const second = new RunnerStandin();
+  let entry: Program;
+  let port = 0;
+  let readiness = 0;
+  let requests = 0;
+
+  function register(id: string, address: string, more: object = {}): void {
+    store.put('servers', id, {
+      service: 'desk',
+      address,
+      zone: 'z1',
+      slots: 4,
+      state: 'ready',
+      ...more,
+    });
+  }
+
+  before(async () => {
+    const address = await store.start();
+    await first.start();
+    await second.start();
+    [port, readiness] = [await freePort(), await freePort()];
+    const deployment: Deployment = {
+      instance: 'entry-1',
+      zone: 'z1',
+      ip: '127.0.0.1',
+      callers: `127.0.0.1:${port}`,
+      readiness: `127.0.0.1:${readiness}`,
+      peerPort: await freePort(),
+      endpoint: undefined,
+      service: undefined,
+      store: address,
+      bounds: {
+        drainMs: 2_000,
+        graceMs: 4_000,
+        revokeMs: 2_900,
+        failClosed: true,
+        retryRatio: 0.2,
+        retryWindowMs: 10_000,
+        retrySlack: 1_000,
+      },
+    };
+    entry = wirePlatformEntry(deployment);
+    await entry.start();
+  });
+
+  after(() => {
+    store.stop();
+    first.stop();
+    second.stop();
+  });
+
+  beforeEach(async () => {
+    store.mood = 'well';
+    first.behaviour = answering('first');
+    second.behaviour = answering('second');
+    first.arrivals.length = 0;
+    second.arrivals.length = 0;
+  });
+
+  function send(
+    path: string,
+    options: {
+      readonly body?: string;
+      readonly key?: string;
+      readonly headers?: http.OutgoingHttpHeaders;
+      readonly onSocket?: (socket: net.Socket) => void;
+    } = {},
+  ): Promise<Reply> {
+    const startMs = Date.now();
+    requests += 1;
+    return new Promise((resolve, reject) => {
+      const request = http.request({
+        host: '127.0.0.1',
+        port,
+        method: options.body === undefined ? 'GET' : 'POST',
+        path,
+        agent: false,
+        headers: {
+          Host: HOST,
+          'Api-Key': options.key ?? KEY,
+          'Boragemill-Request-Id': `request-${requests}`,
+          'Boragemill-Deadline-Ms': '3000',
+          ...options.headers,
+        },
+      });
+      request.on('error', reject);
+      request.on('socket', socket => options.onSocket?.(socket));
+      request.on('response', response => {
+        let body = '';
+        const done = () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body,
+            whole: response.complete,
+            ms: Date.now() - startMs,
+          });
+        response.on('data', chunk => (body += String(chunk)));
+        response.on('end', done);
+        response.on('error', done);
+      });
+      request.end(options.body);
+    });
+  }
+
+  async function ready(): Promise<boolean> {
+    return new Promise(resolve => {
+      http
+        .get({host: '127.0.0.1', port: readiness, agent: false}, res => {
+          res.resume();
+          resolve(res.statusCode === 200);
+        })
+        .on('error', () => resolve(false));
+    });
+  }
+
+  const arrivals = () => [...first.arrivals, ...second.arrivals];
+
+  it('is not ready and refuses with a true 503 before a configuration', async () => {
+    const reply = await send('/look/1');
+    expect(reply.status).to.equal(503);
+    expect(Number(reply.headers['retry-after'])).to.be.above(0);
+    expect(await ready()).to.equal(false);
+    store.put('op', 'config', configuration(3, [KEY]));
+    register('i-1', first.address);
+    register('i-2', second.address);
+    await until(ready, 'the entry to be ready');
+  });
+
+  it('skips rows of other writers that cannot be read', async () => {
+    store.put('servers', 'i-odd', 'not JSON');
+    store.put('servers', 'i-state', {service: 'desk', state: 'asleep'});
+    store.put('op', 'config', {version: 'four'});
+    const reply = await send('/look/1');
+    expect(reply.status).to.equal(200);
+  });
+
+  it('passes a request and its answer on unchanged', async () => {
+    const reply = await send('/order/7?x=1', {
+      body: 'pallets',
+      headers: {'Boragemill-Tenant': 'forged', 'X-Own': 'kept'},
+    });
+    expect(reply.status).to.equal(200);
+    const [arrival] = arrivals();
+    expect(reply.headers['boragemill-response-seal']).to.equal(
+      `s.${arrival!.headers['boragemill-request-id']}`,
+    );
+    expect(arrival).to.include({
+      method: 'POST',
+      path: '/order/7?x=1',
+      body: 'pallets',
+    });
+    const {headers} = arrival!;
+    expect(headers['boragemill-tenant']).to.equal('hydrotherm');
+    expect(headers['api-key']).to.equal(undefined);
+    expect(headers['x-own']).to.equal('kept');
+    expect(headers.host).to.equal(HOST);
+    expect(headers['boragemill-expect-instance']).to.match(/^i-[12]$/);
+    expect(Number(headers['boragemill-deadline-ms'])).to.be.within(
+      1_000,
+      1_500,
+    );
+  });
+
+  it('answers 404, 401 and 413 by itself', async () => {
+    expect((await send('/nowhere/1')).status).to.equal(404);
+    expect((await send('/look/1', {key: 'wrong'})).status).to.equal(401);
+    expect((await send('/open/1', {key: 'wrong'})).status).to.equal(200);
+    const large = await send('/order/1', {body: 'x'.repeat(1_001)});
+    expect(large.status).to.equal(413);
+  });
+
+  it('sends an order elsewhere only if it was certainly not run', async () => {
+    first.behaviour = full;
+    second.behaviour = answering('second');
+    for (let i = 0; i < 6; i++) {
+      const reply = await send('/order/1', {body: 'x'});
+      expect(reply.body).to.equal('second');
+    }
+    // Broken after it was received: it may have run.
+    const broken = (a: unknown, res: http.ServerResponse) => {
+      res.destroy();
+    };
+    [first.behaviour, second.behaviour] = [broken, broken];
+    const before = arrivals().length;
+    const reply = await send('/order/1', {body: 'x'});
+    expect(reply.status).to.equal(502);
+    expect(arrivals().length - before).to.equal(1);
+  });
+
+  it('sends an order elsewhere if the connection cannot be opened', async () => {
+    register('i-dead', '127.0.0.1:1');
+    for (let i = 0; i < 8; i++) {
+      expect((await send('/order/1', {body: 'x'})).status).to.equal(200);
+    }
+    store.put('servers', 'i-dead', undefined);
+  });
+
+  it('takes an answer to another request as none', async () => {
+    first.behaviour = (a, res) => {
+      res.writeHead(200, {...sealed(a), 'Boragemill-Request-Id': 'other'});
+      res.end('foreign');
+    };
+    for (let i = 0; i < 6; i++) {
+      const reply = await send('/look/1');
+      expect(reply.body).to.equal('second');
+    }
+    second.behaviour = first.behaviour;
+    expect((await send('/order/1', {body: 'x'})).status).to.equal(502);
+  });
+
+  it('does not pass on an answer without length that was reset', async () => {
+    // Node takes such an answer as whole if the reset comes with its bytes.
+    for (const delayMs of [0, 5, 30]) {
+      const reset = (
+        a: Parameters<typeof sealed>[0],
+        res: http.ServerResponse,
+      ) => {
+        const {socket} = res;
+        const head = Object.entries(sealed(a))
+          .map(([name, value]) => `${name}: ${value}\r\n`)
+          .join('');
+        socket!.write(`HTTP/1.1 200 OK\r\n${head}\r\nhalf an ans`);
+        setTimeout(() => socket!.resetAndDestroy(), delayMs);
+      };
+      [first.behaviour, second.behaviour] = [reset, reset];
+      for (let i = 0; i < 10; i++) {
+        const reply = await send('/order/1', {body: 'x'});
+        expect(reply.status).to.equal(502);
+      }
+    }
+  });
+
+  it('passes on an answer without length that ends in order', async () => {
+    const unframed = (
+      a: Parameters<typeof sealed>[0],
+      res: http.ServerResponse,
+    ) => {
+      const {socket} = res;
+      const head = Object.entries(sealed(a))
+        .map(([name, value]) => `${name}: ${value}\r\n`)
+        .join('');
+      socket!.end(`HTTP/1.1 200 OK\r\n${head}\r\na whole answer`);
+    };
+    [first.behaviour, second.behaviour] = [unframed, unframed];
+    const reply = await send('/order/1', {body: 'x'});
+    expect(reply).to.include({status: 200, body: 'a whole answer'});
+  });
+
+  it('tries an idempotent request once more, then gives the failure', async () => {
+    const failing = (
+      a: Parameters<typeof sealed>[0],
+      res: http.ServerResponse,
+    ) => {
+      res.writeHead(500, sealed(a));
+      res.end('no');
+    };
+    [first.behaviour, second.behaviour] = [failing, failing];
+    const reply = await send('/look/1');
+    expect(reply.status).to.equal(500);
+    expect(arrivals()).to.have.length(2);
+    expect(reply.headers['boragemill-response-seal']).to.match(/^s\./);
+  });
+
+  it('resumes a broken stream after its last whole event', async () => {
+    const event = (id: number) => `id: ${id}\ndata: ${'x'.repeat(id)}\n\n`;
+    const streaming = (
+      a: Parameters<typeof sealed>[0],
+      res: http.ServerResponse,
+    ) => {
+      const after = Number(a.headers['last-event-id'] ?? 0);
+      res.writeHead(200, sealed(a));
+      if (after === 0) {
+        // Breaks off within the third event.
+        res.write(event(1) + event(2) + event(3).slice(0, 6), () =>
+          setTimeout(() => res.destroy(), 20),
+        );
+        return;
+      }
+      res.end([3, 4].map(event).join(''));
+    };
+    [first.behaviour, second.behaviour] = [streaming, streaming];
+    const reply = await send('/draft/1', {body: 'x'});
+    expect(reply.body).to.equal([1, 2, 3, 4].map(event).join(''));
+    expect(reply.whole).to.equal(true);
+    expect(arrivals()).to.have.length(2);
+    const seal = reply.headers['boragemill-response-seal'];
+    expect(seal).to.match(/^s\./);
+  });
+
+  it('does not let a stream that ends early look whole', async () => {
+    const cut = (a: Parameters<typeof sealed>[0], res: http.ServerResponse) => {
+      res.writeHead(200, sealed(a));
+      res.write('id: 1\ndata: x\n\nid: 2\nda', () =>
+        setTimeout(() => res.destroy(), 20),
+      );
+    };
+    [first.behaviour, second.behaviour] = [cut, cut];
+    const reply = await send('/draft/1', {body: 'x'});
+    expect(reply.whole).to.equal(false);
+    expect(reply.body).to.equal('id: 1\ndata: x\n\n');
+  });
+
+  it('answers at the time limit of the route', async () => {
+    const silent = () => undefined;
+    [first.behaviour, second.behaviour] = [silent, silent];
+    const reply = await send('/short/1', {body: 'x'});
+    expect(reply.status).to.equal(504);
+    expect(reply.ms).to.be.within(240, 700);
+  });
+
+  it('stops the endpoint when the caller leaves', async () => {
+    const silent = () => undefined;
+    [first.behaviour, second.behaviour] = [silent, silent];
+    let socket: net.Socket | undefined;
+    const reply = send('/order/1', {
+      body: 'x',
+      onSocket: s => (socket = s),
+    }).catch(() => undefined);
+    await until(() => arrivals().length === 1, 'the request to arrive');
+    socket!.destroy();
+    await reply;
+    await until(() => arrivals()[0]!.closed, 'the attempt to end');
+  });
+
+  it('stops using endpoints that drain and zones that are taken out', async () => {
+    register('i-1', first.address, {state: 'draining'});
+    await until(async () => {
+      first.arrivals.length = 0;
+      for (let i = 0; i < 5; i++) await send('/look/1');
+      return first.arrivals.length === 0;
+    }, 'the draining endpoint to get nothing');
+    register('i-1', first.address, {zone: 'z2'});
+    store.put('op', 'evacuate/z1', {});
+    await until(
+      async () => (await send('/look/1')).body === 'first',
+      'the zone to get nothing',
+    );
+    store.put('op', 'evacuate/z1', undefined);
+  });
+
+  it('takes over a new configuration, and never goes back', async () => {
+    store.put('op', 'config', configuration(8, ['key-2']));
+    await until(
+      async () => (await send('/look/1')).status === 401,
+      'the key to be refused',
+    );
+    store.put('op', 'config', configuration(7, [KEY]));
+    store.compact();
+    await until(async () => {
+      const reply = await send('/look/1', {key: 'key-2'});
+      return reply.status === 200;
+    }, 'the new key to work');
+    expect((await send('/look/1')).status).to.equal(401);
+    store.put('op', 'config', configuration(9, [KEY]));
+    await until(
+      async () => (await send('/look/1')).status === 200,
+      'the key to be back',
+    );
+  });
+
+  it('refuses keys with 503 when the store has been silent too long', async () => {
+    store.mood = 'silent';
+    await until(
+      async () => (await send('/look/1')).status === 503,
+      'keys to be refused',
+    );
+    expect((await send('/open/1')).status).to.equal(200);
+    expect(await ready()).to.equal(false);
+    store.mood = 'well';
+    await until(ready, 'the store to be followed again');
+    expect((await send('/look/1')).status).to.equal(200);
+  }).timeout(20_000);
+
+  it('finishes what runs when it is stopped, and refuses what comes late', async () => {
+    const slow = (
+      a: Parameters<typeof sealed>[0],
+      res: http.ServerResponse,
+    ) => {
+      setTimeout(() => {
+        res.writeHead(200, sealed(a));
+        res.end('slow');
+      }, 400);
+    };
+    [first.behaviour, second.behaviour] = [slow, slow];
+    const running = send('/order/1', {body: 'x'});
+    await until(() => arrivals().length === 1, 'the request to arrive');
+    const stopped = entry.stop();
+    expect(await ready()).to.equal(false);
+    const reply = await running;
+    expect(reply.body).to.equal('slow');
+    const after = await send('/look/1');
+    expect(after.status).to.equal(200);
+    expect(after.headers.connection).to.equal('close');
+    await stopped;
+  }).timeout(20_000);
+});
