--- a/src/cli/platform.ts
+++ b/src/cli/platform.ts
@@ -23,8 +23,6 @@
   start(): Promise<void>;
   /** Finishes running work and returns when the process may end. */
   stop(): Promise<void>;
-  /** Takes over settings that have changed. */
-  reload(deployment: Deployment): void;
 }
 
 type Wire = (deployment: Deployment) => Program;
@@ -64,17 +62,29 @@
   process.on('SIGINT', () => void stop());
   process.on('SIGHUP', () => {
     try {
-      program.reload(readDeployment(file));
-      log('info', 'settings reloaded');
+      const keys = changedKeys(deployment, readDeployment(file));
+      log('info', 'settings read again', {
+        changed: keys.join(','),
+        inForce: keys.length === 0 ? 'unchanged' : 'at the next start',
+      });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
-      log('error', 'settings kept', {reason});
+      log('error', 'settings not readable', {reason});
     }
   });
   await program.start();
   log('info', 'started', {role, zone: deployment.zone});
 }
 
+/**
+ * Settings that differ from those in force. Addresses, ports and bounds stay
+ * as they were at the start, because requests under way depend on them.
+ */
+function changedKeys(old: Deployment, now: Deployment): readonly string[] {
+  const keys = Object.keys(now) as (keyof Deployment)[];
+  return keys.filter(k => JSON.stringify(old[k]) !== JSON.stringify(now[k]));
+}
+
 function readDeployment(file: string): Deployment {
   try {
     return parseDeployment(fs.readFileSync(file, 'utf8'));
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -18,6 +18,8 @@
   readonly log: Log;
   catalog(): Catalog;
   submit(incoming: Incoming): void;
+  /** A request was refused before it was placed. */
+  refused(status: number, reason: string): void;
   /** Age of the configuration's proof from which keys are refused, in ms. */
   readonly staleMs: number;
   readonly random: () => number;
@@ -160,6 +162,7 @@
     retryMs?: number,
   ): void {
     const {requestId} = this.parts.headers.call(req.headers);
+    this.parts.refused(status, reason);
     this.parts.log('info', 'refused', {request: requestId, status, reason});
     writeFailure(res, status, reason, retryMs);
     req.resume();
--- a/src/observe/log.ts
+++ b/src/observe/log.ts
@@ -1,10 +1,11 @@
 /**
- * Structured logs: one JSON object a line on standard error.
+ * Structured logs: one JSON object a line on standard output.
  *
  * The `debug` library decides what is written. It is switched on for this
  * project's name space only, because express and others write under it too.
  */
 import createDebug from 'debug';
+import {Sink, standardOutput} from './sink';
 
 export type Level = 'debug' | 'info' | 'warn' | 'error';
 
@@ -30,10 +31,13 @@
   args.length = 1;
   args[0] = JSON.stringify(line);
 };
-createDebug.log = (line: string) => process.stderr.write(line + '\n');
+let sink: Sink | undefined;
+
+createDebug.log = (line: string) => sink?.write(line);
 
 /** Switches logging on; `debug` also writes the most detailed level. */
 export function enableLogs(level: Level = 'info'): void {
+  sink ??= standardOutput();
   const finer = level === 'debug' ? `${ROOT}:*` : `${ROOT}:*,-${ROOT}:*:debug`;
   createDebug.enable(finer);
 }
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -66,6 +66,7 @@
   /** Time at which the ranks can have copied what was ordered. */
   private copiedMs = -Infinity;
   private leading = false;
+  private completed = 0;
   private timer: Timer | undefined;
   private stopped = false;
 
@@ -75,6 +76,11 @@
     this.timer = this.parts.clock.after(WATCH_MS, () => void this.turn());
   }
 
+  /** Changes of the map that this sidecar has completed. */
+  get changes(): number {
+    return this.completed;
+  }
+
   /** Whether this sidecar coordinates its group. */
   leads(): boolean {
     return this.leading;
@@ -202,6 +208,9 @@
     this.change = state;
     if (state.phase.kind !== before.phase.kind) {
       const {version, epoch} = state;
+      if (state.phase.kind === 'releasing' && state.phase.changed) {
+        this.completed += 1;
+      }
       // Demand has moved while the experts were copied.
       if (state.phase.kind === 'idle') this.readMs = -Infinity;
       const pass = 'pass' in state.phase ? state.phase.pass : undefined;
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -21,7 +21,8 @@
 import {Watch} from './gateway/watch';
 import {Clock, every, systemClock, Timer} from './kernel/clock';
 import {JsonCaller} from './kernel/jsoncall';
-import {logFor} from './observe/log';
+import {Registry} from './observe/exposition';
+import {Log, logFor} from './observe/log';
 import {Program} from './cli/platform';
 import {Agent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
@@ -64,12 +65,19 @@
   const log = logFor('entry', {instance, zone});
   const caller = new JsonCaller();
   const store = storeClient(deployment.store, caller);
+  const registry = new Registry();
   const desk = new PlacementDesk(
     {zone, retryRatio: bounds.retryRatio, retrySlack: bounds.retrySlack},
     clock,
     log,
     ({incoming: {call, route, account, arrivedMs}}, ended) => {
       const ms = Math.round(clock.elapsedMs() - arrivedMs);
+      const status = String(ended.status);
+      registry.count('boragemill_requests_total', {route: route.name, status});
+      registry.time('boragemill_request_ms', ms, {kind: route.kind});
+      for (const {outcome} of ended.tries) {
+        registry.count('boragemill_attempts_total', {outcome});
+      }
       log('info', 'request', {
         request: call.requestId,
         route: route.name,
@@ -92,6 +100,11 @@
       desk.submit(
         new Exchange(incoming, desk, {headers: platformHeaders, clock, log}),
       ),
+    refused: (status, reason) =>
+      registry.count('boragemill_refused_total', {
+        status: String(status),
+        reason,
+      }),
     staleMs: bounds.failClosed ? bounds.revokeMs * STALE_SHARE : Infinity,
     random: Math.random,
   });
@@ -132,11 +145,21 @@
     log,
   });
   const readiness: http.Server = readinessServer(() => front.ready());
+  const metrics = metricsServer(registry);
+  registry.gauge('boragemill_requests_in_flight', () => desk.inFlight);
+  registry.gauge(
+    'boragemill_configuration_version',
+    () => desk.current().configuration?.version ?? 0,
+  );
+  registry.gauge('boragemill_configuration_age_ms', () =>
+    Math.round(clock.elapsedMs() - desk.current().operatorProvedMs),
+  );
   return {
     async start() {
       void operator.run();
       void endpoints.run();
       await loads.start();
+      await listenForMetrics(metrics, deployment, log);
       if (deployment.readiness) await listenAt(readiness, deployment.readiness);
       if (deployment.callers) await front.listen(deployment.callers);
     },
@@ -152,9 +175,9 @@
       endpoints.stop();
       loads.stop();
       readiness.close();
+      metrics.close();
       caller.close();
     },
-    reload() {},
   };
 }
 
@@ -236,12 +259,17 @@
     random: Math.random,
   });
   const peers = http.createServer((req, res) => agent.handle(req, res));
+  const registry = new Registry();
+  registry.gauge('boragemill_coordinates', () => Number(coordinator.leads()));
+  registry.gauge('boragemill_map_changes_total', () => coordinator.changes);
+  const metrics = metricsServer(registry);
   let reports: Timer | undefined;
   return {
     async start() {
       void operator.run();
       void endpoints.run();
       await publisher.start();
+      await listenForMetrics(metrics, deployment, log);
       await listenAt(peers, `${ip}:${peerPort}`);
       reports = every(clock, REPORT_MS, () => {
         agent.report().then(
@@ -260,12 +288,29 @@
       endpoints.stop();
       publisher.stop();
       peers.close();
+      metrics.close();
       caller.close();
     },
-    reload() {},
   };
 }
 
+function metricsServer(registry: Registry): http.Server {
+  return http.createServer((req, res) => registry.handle(req, res));
+}
+
+/** A program serves its callers also where its metrics cannot be served. */
+async function listenForMetrics(
+  server: http.Server,
+  {ip, metricsPort}: Deployment,
+  log: Log,
+): Promise<void> {
+  try {
+    await listenAt(server, `${ip}:${metricsPort}`);
+  } catch (error) {
+    log('error', 'metrics not served', {reason: String(error)});
+  }
+}
+
 function pause(clock: Clock, ms: number): Promise<void> {
   return new Promise(done => clock.after(ms, done));
 }
--- a/standins/process.ts
+++ b/standins/process.ts
@@ -29,7 +29,7 @@
 
 export class BinaryProcess {
   readonly lines: LogLine[] = [];
-  /** What was written on standard error and is not a JSON line. */
+  /** What was written and is not a JSON line. */
   readonly noise: string[] = [];
   readonly exited: Promise<number | null>;
   private readonly child: ChildProcess;
@@ -43,7 +43,7 @@
     const file = path.join(directory, `${instance}.jsonc`);
     fs.writeFileSync(file, JSON.stringify(settings, null, 2));
     this.child = spawn(BINARY, [program, '--settings', file], {
-      stdio: ['ignore', 'ignore', 'pipe'],
+      stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.exited = new Promise(done => {
       this.child.once('exit', code => {
@@ -51,8 +51,9 @@
         done(code);
       });
     });
-    const input = this.child.stderr!;
-    readline.createInterface({input}).on('line', line => this.read(line));
+    for (const input of [this.child.stdout!, this.child.stderr!]) {
+      readline.createInterface({input}).on('line', line => this.read(line));
+    }
   }
 
   get pid(): number {
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -96,6 +96,7 @@
       callers: `127.0.0.1:${port}`,
       readiness: `127.0.0.1:${readiness}`,
       peerPort: await freePort(),
+      metricsPort: 0,
       endpoint: undefined,
       service: undefined,
       store: address,
