Slow ranks get less work and fewer experts; ranks of silent sidecars are asked directly

A frozen sidecar's rank was not seen by the next coordinator. Changes below a skew of 1.15 copied experts for nothing. Open: hold a rank on another machine and arm the own rank last.

--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -6,11 +6,13 @@
  * all of them choose the same one at once, so the choice is random among
  * those that are about as little loaded, and an endpoint of the own zone is
  * preferred among these. Ranks of a group wait for each other in every pass,
- * so an even spread over the ranks also makes the passes short.
+ * so an even spread over the ranks also makes the passes short. A slow rank
+ * slows all of them by its own requests, so it gets new ones only when no
+ * other endpoint has room.
  */
 import {Avoidance, isAvoided} from './avoidance';
 import {Registration} from './catalog';
-import {isOpen, Loads, requestsAt} from './load';
+import {isOpen, isSlow, Loads, requestsAt} from './load';
 
 export interface Surroundings {
   readonly loads: Loads;
@@ -56,7 +58,8 @@
       requestsAt(loads, e.id, nowMs) < e.slots + AHEAD && around.bearsMore(e),
   );
   if (bearing.length === 0) return {kind: 'full'};
-  const endpoint = leastLoaded(bearing, around);
+  const swift = bearing.filter(e => !isSlow(loads, e.id, nowMs));
+  const endpoint = leastLoaded(swift.length > 0 ? swift : bearing, around);
   return {kind: 'endpoint', endpoint};
 }
 
--- a/src/gateway/load.ts
+++ b/src/gateway/load.ts
@@ -16,6 +16,7 @@
   /** False while its group was broken at the last report. */
   readonly open: boolean;
   readonly pass: number;
+  readonly pace: number;
   readonly heardMs: number;
 }
 
@@ -27,11 +28,15 @@
  */
 const FRESH_MS = 1_500;
 
+/** Paces below this differ as sound endpoints do. */
+const SLOW_PACE = 1.5;
+
 const UNKNOWN: Load = {
   own: 0,
   others: 0,
   open: true,
   pass: 0,
+  pace: 1,
   heardMs: -Infinity,
 };
 
@@ -54,8 +59,8 @@
 ): Loads {
   const {own} = loads.get(report.id, UNKNOWN);
   const others = Math.max(0, report.running + report.queued - own);
-  const {open, pass} = report;
-  return loads.set(report.id, {own, others, open, pass, heardMs: nowMs});
+  const {open, pass, pace} = report;
+  return loads.set(report.id, {own, others, open, pass, pace, heardMs: nowMs});
 }
 
 /** Requests at the endpoint, as far as known. */
@@ -70,6 +75,12 @@
   return open || nowMs - heardMs > FRESH_MS;
 }
 
+/** Whether a fresh report says that it is slower than a sound endpoint. */
+export function isSlow(loads: Loads, id: string, nowMs: number): boolean {
+  const {pace, heardMs} = loads.get(id, UNKNOWN);
+  return pace > SLOW_PACE && nowMs - heardMs <= FRESH_MS;
+}
+
 /** Forgets endpoints that are gone and have nothing in flight. */
 export function retained(
   loads: Loads,
--- a/src/gateway/loads.ts
+++ b/src/gateway/loads.ts
@@ -18,6 +18,7 @@
   readonly queued: number;
   readonly open: boolean;
   readonly pass: number;
+  readonly pace: number;
   /** Gateways that receive this report. */
   readonly gateways: number;
 }
@@ -31,6 +32,7 @@
     queued: z.number().min(0),
     open: z.boolean(),
     pass: z.number(),
+    pace: z.number().positive(),
     gateways: z.number().int().min(0),
   }),
 ]);
@@ -160,8 +162,8 @@
 
   publish(report: Omit<LoadReport, 'gateways'>): void {
     const nowMs = this.clock.elapsedMs();
-    const {running, queued, open} = report;
-    const load = `${running} ${queued} ${open}`;
+    const {running, queued, open, pace} = report;
+    const load = `${running} ${queued} ${open} ${pace}`;
     const due = nowMs - this.sent.atMs >= REPEAT_MS;
     if (load === this.sent.load && !due) return;
     this.sent = {load, atMs: nowMs};
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -125,4 +125,6 @@
   readonly open: boolean;
   /** Pass that was begun last; grows while the endpoint works. */
   readonly pass: number;
+  /** Its time for the same work, in that of a sound endpoint. */
+  readonly pace: number;
 }
--- a/src/ranks/change.ts
+++ b/src/ranks/change.ts
@@ -133,7 +133,7 @@
 /** Rest after a change that failed, in milliseconds. */
 const REST_MS = 2_000;
 /** A hold of another coordinator that lasts this long is left over, in ms. */
-const FOREIGN_MS = 400;
+const FOREIGN_MS = 250;
 
 /**
  * Passes between the last one begun and the one to switch with. One pass
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -44,8 +44,11 @@
 const READ_MS = 400;
 /** Time between polls while a change is under way, in milliseconds. */
 const WATCH_MS = 60;
-/** Silence after which the next rank takes over, in milliseconds. */
-const SILENCE_MS = 1_500;
+/**
+ * Silence after which the next rank takes over, in milliseconds. A coordinator
+ * may be gone while the group is held, and callers leave after two seconds.
+ */
+const SILENCE_MS = 900;
 /** Further silence for each lower rank, so that one takes over first. */
 const SILENCE_PER_RANK_MS = 100;
 /** Time after which addresses of other groups are asked again, in ms. */
@@ -62,6 +65,7 @@
   private readonly states = new Map<number, RankState>();
   private readonly members = new Map<number, Member>();
   private readonly known = new Map<string, Known>();
+  private readonly reached = new Map<string, Member>();
   private readMs = -Infinity;
   /** Time at which the ranks can have copied what was ordered. */
   private copiedMs = -Infinity;
@@ -173,13 +177,19 @@
     );
   }
 
+  private memberAt(address: string): Member {
+    const found = this.reached.get(address) ?? this.parts.member(address);
+    this.reached.set(address, found);
+    return found;
+  }
+
   private async ask(
     address: string,
     own: RankReport,
     withCounts: boolean,
     nowMs: number,
   ): Promise<void> {
-    const member = this.parts.member(address);
+    const member = this.memberAt(address);
     try {
       const state = await member.state(own.rank, withCounts);
       this.known.set(address, {group: state.group, askedMs: nowMs});
@@ -258,7 +268,11 @@
     if (!this.demand.known || !mayBegin(change, nowMs) || this.stopped) return;
     const map = this.inUse();
     if (!map) return;
-    const plan = improvedMap(map, this.demand.shares, limits);
+    const paces = Array.from(
+      {length: change.size},
+      (_, rank) => this.states.get(rank)!.pace,
+    );
+    const plan = improvedMap(map, this.demand.shares, limits, paces);
     if (!plan) return;
     this.parts.log('info', 'map planned', {
       copies: plan.copies,
--- a/src/ranks/members.ts
+++ b/src/ranks/members.ts
@@ -3,6 +3,7 @@
  * directly where a sidecar does not answer.
  */
 import * as z from 'zod';
+import {Clock} from '../kernel/clock';
 import {JsonCaller} from '../kernel/jsoncall';
 import {ORDER_PATH, STATE_PATH} from './agent';
 import {Engine} from './engine';
@@ -25,6 +26,7 @@
   held: z.number().optional(),
   running: z.number(),
   queued: z.number(),
+  pace: z.number(),
   experts: z.array(z.array(z.number())),
   counts: z.array(z.number()),
 }) as z.ZodType<RankState>;
@@ -43,30 +45,54 @@
 }
 
 /**
- * A member whose sidecar listens on `sidecar`, an `IP:port`. An order that the
- * sidecar cannot have received goes to the engine itself.
+ * Time for which the engine is asked itself after its sidecar was silent, in
+ * ms. A sidecar that is frozen may leave its group held.
  */
+const SILENT_MS = 1_000;
+
+/** A member whose sidecar listens on `sidecar`, an `IP:port`. */
 export function member(
   address: string,
   sidecar: string,
   engine: Engine,
   caller: JsonCaller,
+  clock: Clock,
 ): Member {
+  let silentUntilMs = -Infinity;
+
+  const isSilent = () => clock.elapsedMs() < silentUntilMs;
+  const fellSilent = () => (silentUntilMs = clock.elapsedMs() + SILENT_MS);
+
+  /** Counts of another machine are dear and left out. */
+  async function engineState(): Promise<RankState> {
+    const report = await engine.report();
+    const {version, experts} = await engine.experts();
+    if (version !== report.map) throw new Error('the map has just changed');
+    return {...report, experts, counts: []};
+  }
+
   return {
     address,
     async state(coordinator, withCounts) {
+      if (isSilent()) return engineState();
       const query = `?coordinator=${coordinator}${withCounts ? '&counts' : ''}`;
-      const {status, body} = await caller.call(
-        'GET',
-        sidecar,
-        STATE_PATH + query,
-        undefined,
-        STATE_MS,
-      );
-      if (status !== 200) throw new Error(`sidecar: status ${status}`);
-      return stateSchema.parse(body);
+      try {
+        const {status, body} = await caller.call(
+          'GET',
+          sidecar,
+          STATE_PATH + query,
+          undefined,
+          STATE_MS,
+        );
+        if (status !== 200) throw new Error(`sidecar: status ${status}`);
+        return stateSchema.parse(body);
+      } catch {
+        fellSilent();
+        return engineState();
+      }
     },
     async order(epoch, order) {
+      if (isSilent()) return engine.order(epoch, order, ORDER_MS);
       try {
         const {status, body} = await caller.call(
           'POST',
@@ -77,10 +103,10 @@
         );
         if (status !== 200) return 'unknown';
         return outcomeSchema.parse(body).outcome;
-      } catch (error) {
-        const {code} = error as {code?: string};
-        if (code !== 'ECONNREFUSED') return 'unknown';
-        return engine.order(epoch, order, ORDER_MS);
+      } catch {
+        // The next order goes to the engine itself.
+        fellSilent();
+        return 'unknown';
       }
     },
   };
--- a/src/ranks/placement.ts
+++ b/src/ranks/placement.ts
@@ -5,7 +5,8 @@
  * load counts. Copying an expert to a rank costs time and money, and ranks
  * copy one expert after another; dropping a copy costs nothing. The search
  * therefore takes single steps with the largest relief for each copy and
- * stops when no step relieves enough.
+ * stops when no step relieves enough. The load of a slow rank counts as many
+ * times as it is slower, because all ranks wait for it.
  */
 import {RankMap} from './rank';
 
@@ -18,6 +19,8 @@
   readonly newPerRankTotal: number;
   /** Least relief of the smooth skew for each copy. */
   readonly gainPerCopy: number;
+  /** Mean skew of the sets below which nothing is changed. */
+  readonly leastSkew: number;
 }
 
 export interface Plan {
@@ -41,15 +44,16 @@
   constructor(
     readonly ranks: Set<number>[],
     readonly demand: readonly number[],
+    readonly paces: readonly number[],
   ) {
     this.holders = demand.map(() => []);
     ranks.forEach((held, rank) => {
       for (const expert of held) this.holders[expert]!.push(rank);
     });
-    this.loads = ranks.map(held => {
+    this.loads = ranks.map((held, rank) => {
       let sum = 0;
       for (const e of held) sum += demand[e]! / this.holders[e]!.length;
-      return sum;
+      return sum * paces[rank]!;
     });
     this.mean = demand.reduce((sum, n) => sum + n, 0) / ranks.length;
   }
@@ -83,9 +87,12 @@
     const after = this.demand[expert]! / count;
     const at = (rank: number) => onto.get(rank) ?? this.loads[rank]!;
     for (const rank of holders) {
-      onto.set(rank, at(rank) - before + (rank === dropped ? 0 : after));
+      const change = (rank === dropped ? 0 : after) - before;
+      onto.set(rank, at(rank) + change * this.paces[rank]!);
+    }
+    if (added !== undefined) {
+      onto.set(added, at(added) + after * this.paces[added]!);
     }
-    if (added !== undefined) onto.set(added, at(added) + after);
   }
 
   apply({rank, add, drop}: Change): void {
@@ -124,16 +131,19 @@
   map: RankMap,
   demand: readonly (readonly number[])[],
   limits: Limits,
+  paces: readonly number[] = map[0]!.map(() => 1),
 ): Plan | undefined {
   const layouts = map.map(
     (ranks, set) =>
       new SetLayout(
         ranks.map(held => new Set(held)),
         demand[set]!,
+        paces,
       ),
   );
   const before = map.map(ranks => ranks.map(held => new Set(held)));
   const skewBefore = meanOf(layouts.map(l => l.skew()));
+  if (skewBefore < limits.leastSkew) return undefined;
   const fresh = map[0]!.map(() => 0);
   const freshOfSet = map.map(ranks => ranks.map(() => 0));
   let copies = 0;
@@ -223,12 +233,14 @@
 export function skewOf(
   map: RankMap,
   demand: readonly (readonly number[])[],
+  paces: readonly number[] = map[0]!.map(() => 1),
 ): number {
   return meanOf(
     map.map((ranks, set) =>
       new SetLayout(
         ranks.map(held => new Set(held)),
         demand[set]!,
+        paces,
       ).skew(),
     ),
   );
--- a/src/ranks/rank.ts
+++ b/src/ranks/rank.ts
@@ -34,6 +34,8 @@
   readonly held: number | undefined;
   readonly running: number;
   readonly queued: number;
+  /** Its time for the same work, in that of a sound rank; 1 if sound. */
+  readonly pace: number;
 }
 
 /** What a sidecar tells of its rank. */
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -41,6 +41,11 @@
 const NEW_PER_RANK = 1;
 /** Least fall of a set's smooth skew for one copied expert. */
 const GAIN_PER_COPY = 0.01;
+/**
+ * Skew below which a map stays. Passes take 55 ms when balanced and may take
+ * 120, so the last tenth brings callers nothing and costs copies.
+ */
+const LEAST_SKEW = 1.15;
 /** Longest wait of a poll of the endpoints' table. */
 const ENDPOINT_WAIT_MS = 3_000;
 
@@ -240,7 +245,7 @@
     member: address => {
       const host = address.slice(0, address.indexOf(':'));
       const sidecar = `${host}:${peerPort}`;
-      return member(address, sidecar, engineAt(address, caller), caller);
+      return member(address, sidecar, engineAt(address, caller), caller, clock);
     },
     limits: () => {
       const experts = catalog.services.get(service ?? '')?.engine?.experts;
@@ -251,6 +256,7 @@
         newPerRank: Math.min(experts.newPerChange, NEW_PER_RANK),
         newPerRankTotal: NEW_PER_RANK,
         gainPerCopy: GAIN_PER_COPY,
+        leastSkew: LEAST_SKEW,
         copyMs: experts.copyMs,
       };
     },
@@ -273,8 +279,10 @@
       await listenAt(peers, `${ip}:${peerPort}`);
       reports = every(clock, REPORT_MS, () => {
         agent.report().then(
-          ({running, queued, open, pass}) =>
-            publisher.publish({address: endpoint, running, queued, open, pass}),
+          ({running, queued, open, pass, pace}) => {
+            const load = {running, queued, open, pass, pace};
+            publisher.publish({address: endpoint, ...load});
+          },
           (error: unknown) =>
             log('debug', 'no report', {reason: String(error)}),
         );
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -19,6 +19,7 @@
   newPerRank: 1,
   newPerRankTotal: 1,
   gainPerCopy: 0.01,
+  leastSkew: 1.15,
 };
 
 /** Experts dealt out in turn, as a group forms. */
@@ -86,6 +87,22 @@
     expect(improvedMap(FIRST, even, LIMITS)).to.equal(undefined);
   });
 
+  it('takes load from a rank that is slow', () => {
+    // All ranks wait for the slow one in every pass.
+    const demand = skewedDemand(3);
+    const paces = Array.from({length: RANKS}, (_, rank) =>
+      rank === 4 ? 4 : 1,
+    );
+    let map = FIRST;
+    for (let change = 0; change < 12; change++) {
+      map = improvedMap(map, demand, LIMITS, paces)?.map ?? map;
+    }
+    checkMap(map);
+    expect(skewOf(map, demand, paces)).to.be.below(
+      skewOf(FIRST, demand, paces) / 2,
+    );
+  });
+
   it('follows demand that has moved with few copies', () => {
     let map = FIRST;
     let copies = 0;
--- a/test/fuzz/mapchange-world.ts
+++ b/test/fuzz/mapchange-world.ts
@@ -249,6 +249,7 @@
       held: rank.held,
       running: 1,
       queued: 0,
+      pace: 1,
     };
   }
 
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -272,8 +272,10 @@
     random: () => 0.99,
     bearsMore: () => true,
   };
-  const report = (id: string, running: number, open = true) =>
-    reported(noLoads, {id, running, queued: 0, open, pass: 1}, 0).get(id)!;
+  const report = (id: string, running: number, open = true, pace = 1) =>
+    reported(noLoads, {id, running, queued: 0, open, pass: 1, pace}, 0).get(
+      id,
+    )!;
 
   it('prefers the own zone among those that are about equally loaded', () => {
     const choice = choose(serving, new Set(), around);
@@ -288,6 +290,17 @@
     expect(requestsAt(loads, 'a', 60_000)).to.equal(0);
   });
 
+  it('sends to a slow rank only when no other has room', () => {
+    // All ranks of a group wait for the slowest in each pass.
+    let loads = noLoads.set('a', report('a', 0, true, 4));
+    for (const id of ['b', 'c', 'd']) loads = loads.set(id, report(id, 5));
+    const found = choose(serving, new Set(), {...around, loads});
+    expect(found).to.have.nested.property('endpoint.id').not.equal('a');
+    for (const id of ['b', 'c', 'd']) loads = loads.set(id, report(id, 9));
+    const last = choose(serving, new Set(), {...around, loads});
+    expect(last).to.have.nested.property('endpoint.id', 'a');
+  });
+
   it('waits while all are full and refuses while groups are broken', () => {
     let full = noLoads;
     let broken = noLoads;
