Cold endpoints: the rate holds in any second; unused fields and a second copy of the end of commands removed

The rate was counted by calendar seconds, so twice as much was possible across a boundary; a test with eight gateways shows the bound for any second.

--- a/src/cli/platform.ts
+++ b/src/cli/platform.ts
@@ -9,6 +9,7 @@
   SETTINGS_VARIABLE,
 } from '../../platform/settings';
 import {CommandError, EXIT} from '../kernel/errors';
+import {Program} from '../kernel/program';
 import {enableLogs, Level, logFor} from '../observe/log';
 import {wirePlatformEntry, wirePlatformSidecar} from '../wiring-platform';
 
@@ -18,13 +19,6 @@
   readonly logLevel: Level;
 }
 
-/** What a program does between its start and its end. */
-export interface Program {
-  start(): Promise<void>;
-  /** Finishes running work and returns when the process may end. */
-  stop(): Promise<void>;
-}
-
 type Wire = (deployment: Deployment) => Program;
 
 const WIRES: Readonly<Record<'entry' | 'sidecar', Wire>> = {
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -89,6 +89,6 @@
 }
 
 /** Whether the request may run more than once. */
-export function mayRepeat({kind, resumable}: Attempts): boolean {
+function mayRepeat({kind, resumable}: Attempts): boolean {
   return kind === 'idempotent' || (kind === 'stream' && resumable);
 }
--- a/src/gateway/desk.ts
+++ b/src/gateway/desk.ts
@@ -18,6 +18,7 @@
   servingEndpoints,
 } from './catalog';
 import {Choice, choose} from './choose';
+import {bearsOneMore, noColdSends, sentToCold} from './cold';
 import {Desk, Ended, Exchange} from './exchange';
 import {finished, Loads, noLoads, reported, retained, sent} from './load';
 import {EndpointLoad} from './model';
@@ -58,23 +59,16 @@
 /** Length of the retry budget's window, in seconds. */
 const WINDOW_S = 10;
 
-/** Part of the shared bounds that is handed out, for gateways not counted. */
+/** Part of the shared budget that is handed out, for gateways not counted. */
 const HANDED_OUT = 0.8;
 
-interface Second {
-  readonly second: number;
-  readonly count: number;
-}
-
-const MS_PER_S = 1_000;
-
 export class PlacementDesk implements Desk {
   private catalog: Catalog = emptyCatalog;
   private loads: Loads = noLoads;
   private avoidance = nothingAvoided;
   private retries = new Map<string, RetryState>();
   private queues = new Map<string, Queue<Exchange>>();
-  private coldSends = new Map<string, Second>();
+  private coldSends = noColdSends;
   private gateways = ASSUMED_GATEWAYS;
   private active = 0;
   private looking = false;
@@ -232,7 +226,9 @@
     this.loads = sent(this.loads, endpoint.id);
     const queue = this.queueOf(service);
     this.queues.set(service, placed(queue, account?.name ?? '', nowMs));
-    if (endpoint.coldUntilMs > nowMs) this.countColdSend(endpoint.id, nowMs);
+    if (endpoint.coldUntilMs > nowMs) {
+      this.coldSends = sentToCold(this.coldSends, endpoint.id, nowMs);
+    }
     exchange.send(endpoint);
   }
 
@@ -241,18 +237,8 @@
     if (endpoint.coldUntilMs <= nowMs) return true;
     const service = this.catalog.services.get(endpoint.service);
     const perS = service?.coldPerS ?? 0;
-    if (perS === 0) return true;
-    const share = Math.max(1, Math.floor((perS * HANDED_OUT) / this.gateways));
-    const found = this.coldSends.get(endpoint.id);
-    const second = Math.floor(nowMs / MS_PER_S);
-    return found?.second !== second || found.count < share;
-  }
-
-  private countColdSend(id: string, nowMs: number): void {
-    const second = Math.floor(nowMs / MS_PER_S);
-    const found = this.coldSends.get(id);
-    const count = found?.second === second ? found.count + 1 : 1;
-    this.coldSends.set(id, {second, count});
+    const {coldSends, gateways} = this;
+    return bearsOneMore(coldSends, endpoint.id, perS, gateways, nowMs);
   }
 
   private queueOf(service: string): Queue<Exchange> {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,15 +8,7 @@
  */
 import http from 'node:http';
 import {Clock, Timer} from '../kernel/clock';
-import {Log} from '../observe/log';
-import {
-  Attempts,
-  counted,
-  firstAttempt,
-  mayRepeat,
-  nextStep,
-  Outcome,
-} from './attempts';
+import {Attempts, counted, firstAttempt, nextStep, Outcome} from './attempts';
 import {Registration} from './catalog';
 import {EventSplitter} from './events';
 import {Account, Route} from './model';
@@ -62,7 +54,6 @@
 interface Parts {
   readonly headers: Headers;
   readonly clock: Clock;
-  readonly log: Log;
 }
 
 /** Statuses that promise that a request was not run. */
@@ -124,11 +115,6 @@
     return this.over;
   }
 
-  /** Whether no attempt can have run it. */
-  get untouched(): boolean {
-    return this.attempts.runs === 0 && !this.attempt;
-  }
-
   private get streaming(): boolean {
     return this.incoming.route.kind === 'stream';
   }
@@ -353,11 +339,6 @@
     this.silence?.cancel();
     this.desk.ended(this, {outcome, status, tries: this.tries});
   }
-
-  /** Whether a broken attempt could be followed by another. */
-  get repeatable(): boolean {
-    return mayRepeat(this.attempts);
-  }
 }
 
 /** When a caller whose request was not run may come back, in ms. */
--- a/src/gateway/load.ts
+++ b/src/gateway/load.ts
@@ -15,7 +15,6 @@
   readonly others: number;
   /** False while its group was broken at the last report. */
   readonly open: boolean;
-  readonly pass: number;
   readonly pace: number;
   readonly heardMs: number;
 }
@@ -35,7 +34,6 @@
   own: 0,
   others: 0,
   open: true,
-  pass: 0,
   pace: 1,
   heardMs: -Infinity,
 };
@@ -59,8 +57,8 @@
 ): Loads {
   const {own} = loads.get(report.id, UNKNOWN);
   const others = Math.max(0, report.running + report.queued - own);
-  const {open, pass, pace} = report;
-  return loads.set(report.id, {own, others, open, pass, pace, heardMs: nowMs});
+  const {open, pace} = report;
+  return loads.set(report.id, {own, others, open, pace, heardMs: nowMs});
 }
 
 /** Requests at the endpoint, as far as known. */
--- a/src/gateway/loads.ts
+++ b/src/gateway/loads.ts
@@ -17,7 +17,6 @@
   readonly running: number;
   readonly queued: number;
   readonly open: boolean;
-  readonly pass: number;
   readonly pace: number;
   /** Gateways that receive this report. */
   readonly gateways: number;
@@ -31,7 +30,6 @@
     running: z.number().min(0),
     queued: z.number().min(0),
     open: z.boolean(),
-    pass: z.number(),
     pace: z.number().positive(),
     gateways: z.number().int().min(0),
   }),
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -123,8 +123,6 @@
   readonly queued: number;
   /** False while its group of ranks is broken. */
   readonly open: boolean;
-  /** Pass that was begun last; grows while the endpoint works. */
-  readonly pass: number;
   /** Its time for the same work, in that of a sound endpoint. */
   readonly pace: number;
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,6 @@
 /** The command line of the one binary. */
 import './heap';
-import {Command, CommanderError, InvalidArgumentError, Option} from 'commander';
+import {Command, InvalidArgumentError, Option} from 'commander';
 import {DEFAULT_OLDER_THAN_S, orders} from './cli/orders';
 import {operatorPlatform, operatorSettings} from './cli/operator';
 import {
@@ -13,9 +13,9 @@
 } from './cli/rules';
 import {status, StatusOptions} from './cli/status';
 import {runEntry, RunOptions, runSidecar} from './cli/run';
+import {endWithFailure} from './cli/failure';
 import {platformCommand} from './cli/platform-command';
 import {timeline, TimelineOptions} from './cli/timeline';
-import {CommandError, EXIT} from './kernel/errors';
 import {version} from './kernel/version';
 
 function program(name: string, description: string): Command {
@@ -159,12 +159,4 @@
 
 overrideExits(boragemill);
 
-boragemill.parseAsync().catch((error: unknown) => {
-  if (error instanceof CommanderError) {
-    process.exitCode = error.exitCode === 0 ? EXIT.done : EXIT.usage;
-    return;
-  }
-  const known = error instanceof CommandError;
-  process.stderr.write(`${known ? error.message : String(error)}\n`);
-  process.exit(known ? error.exitCode : EXIT.failed);
-});
+boragemill.parseAsync().catch(endWithFailure);
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -23,7 +23,7 @@
 import {JsonCaller} from './kernel/jsoncall';
 import {Registry} from './observe/exposition';
 import {Log, logFor} from './observe/log';
-import {Program} from './cli/platform';
+import {Program} from './kernel/program';
 import {Agent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
 import {member} from './ranks/members';
@@ -103,7 +103,7 @@
     catalog: () => desk.current(),
     submit: incoming =>
       desk.submit(
-        new Exchange(incoming, desk, {headers: platformHeaders, clock, log}),
+        new Exchange(incoming, desk, {headers: platformHeaders, clock}),
       ),
     refused: (status, reason) =>
       registry.count('boragemill_refused_total', {
@@ -279,8 +279,8 @@
       await listenAt(peers, `${ip}:${peerPort}`);
       reports = every(clock, REPORT_MS, () => {
         agent.report().then(
-          ({running, queued, open, pass, pace}) => {
-            const load = {running, queued, open, pass, pace};
+          ({running, queued, open, pace}) => {
+            const load = {running, queued, open, pace};
             publisher.publish({address: endpoint, ...load});
           },
           (error: unknown) =>
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -25,6 +25,7 @@
   servingEndpoints,
 } from '../src/gateway/catalog';
 import {choose, Surroundings} from '../src/gateway/choose';
+import {bearsOneMore, noColdSends, sentToCold} from '../src/gateway/cold';
 import {EventSplitter} from '../src/gateway/events';
 import {noLoads, reported, requestsAt, sent} from '../src/gateway/load';
 import {Configuration, Endpoint, Kind, Route} from '../src/gateway/model';
@@ -214,6 +215,28 @@
   });
 });
 
+describe('cold endpoints', () => {
+  it('get no more in any second than they bear from all gateways', () => {
+    // A zone comes back cold and every gateway has more than enough for it.
+    const PER_S = 38;
+    const GATEWAYS = 8;
+    const times: number[] = [];
+    for (let gateway = 0; gateway < GATEWAYS; gateway++) {
+      let sends = noColdSends;
+      for (let ms = gateway * 13; ms < 5_000; ms += 7) {
+        if (!bearsOneMore(sends, 'e', PER_S, GATEWAYS, ms)) continue;
+        sends = sentToCold(sends, 'e', ms);
+        times.push(ms);
+      }
+    }
+    for (const start of times) {
+      const within = times.filter(ms => ms >= start && ms < start + 1_000);
+      expect(within.length).to.be.at.most(PER_S);
+    }
+    expect(times.length).to.be.above(PER_S);
+  });
+});
+
 describe('event splitter', () => {
   const events = Array.from(
     {length: 20},
@@ -273,9 +296,7 @@
     bearsMore: () => true,
   };
   const report = (id: string, running: number, open = true, pace = 1) =>
-    reported(noLoads, {id, running, queued: 0, open, pass: 1, pace}, 0).get(
-      id,
-    )!;
+    reported(noLoads, {id, running, queued: 0, open, pace}, 0).get(id)!;
 
   it('prefers the own zone among those that are about equally loaded', () => {
     const choice = choose(serving, new Set(), around);
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -6,10 +6,16 @@
 import net, {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {Deployment} from '../platform/settings';
-import {Program} from '../src/cli/platform';
+import {Program} from '../src/kernel/program';
 import {wirePlatformEntry} from '../src/wiring-platform';
 import {until} from '../standins/process';
-import {answering, full, RunnerStandin, sealed} from '../standins/runner';
+import {
+  answering,
+  Arrival,
+  full,
+  RunnerStandin,
+  sealed,
+} from '../standins/runner';
 import {StoreStandin} from '../standins/store';
 
 const HOST = 'desk.example';
@@ -55,6 +61,14 @@
   return port;
 }
 
+/** Status line and headers of an answer without a length. */
+function unframedHead(arrival: Arrival): string {
+  const headers = Object.entries(sealed(arrival))
+    .map(([name, value]) => `${name}: ${value}\r\n`)
+    .join('');
+  return `HTTP/1.1 200 OK\r\n${headers}\r\n`;
+}
+
 interface Reply {
   readonly status: number;
   readonly headers: http.IncomingHttpHeaders;
@@ -101,12 +115,10 @@
       service: undefined,
       store: address,
       bounds: {
-        drainMs: 2_000,
         graceMs: 4_000,
         revokeMs: 2_900,
         failClosed: true,
         retryRatio: 0.2,
-        retryWindowMs: 10_000,
         retrySlack: 1_000,
       },
     };
@@ -283,15 +295,9 @@
   it('does not pass on an answer without length that was reset', async () => {
     // Node takes such an answer as whole if the reset comes with its bytes.
     for (const delayMs of [0, 5, 30]) {
-      const reset = (
-        a: Parameters<typeof sealed>[0],
-        res: http.ServerResponse,
-      ) => {
+      const reset = (a: Arrival, res: http.ServerResponse) => {
         const {socket} = res;
-        const head = Object.entries(sealed(a))
-          .map(([name, value]) => `${name}: ${value}\r\n`)
-          .join('');
-        socket!.write(`HTTP/1.1 200 OK\r\n${head}\r\nhalf an ans`);
+        socket!.write(unframedHead(a) + 'half an ans');
         setTimeout(() => socket!.resetAndDestroy(), delayMs);
       };
       [first.behaviour, second.behaviour] = [reset, reset];
@@ -303,15 +309,9 @@
   });
 
   it('passes on an answer without length that ends in order', async () => {
-    const unframed = (
-      a: Parameters<typeof sealed>[0],
-      res: http.ServerResponse,
-    ) => {
+    const unframed = (a: Arrival, res: http.ServerResponse) => {
       const {socket} = res;
-      const head = Object.entries(sealed(a))
-        .map(([name, value]) => `${name}: ${value}\r\n`)
-        .join('');
-      socket!.end(`HTTP/1.1 200 OK\r\n${head}\r\na whole answer`);
+      socket!.end(unframedHead(a) + 'a whole answer');
     };
     [first.behaviour, second.behaviour] = [unframed, unframed];
     const reply = await send('/order/1', {body: 'x'});
@@ -319,10 +319,7 @@
   });
 
   it('tries an idempotent request once more, then gives the failure', async () => {
-    const failing = (
-      a: Parameters<typeof sealed>[0],
-      res: http.ServerResponse,
-    ) => {
+    const failing = (a: Arrival, res: http.ServerResponse) => {
       res.writeHead(500, sealed(a));
       res.end('no');
     };
@@ -335,10 +332,7 @@
 
   it('resumes a broken stream after its last whole event', async () => {
     const event = (id: number) => `id: ${id}\ndata: ${'x'.repeat(id)}\n\n`;
-    const streaming = (
-      a: Parameters<typeof sealed>[0],
-      res: http.ServerResponse,
-    ) => {
+    const streaming = (a: Arrival, res: http.ServerResponse) => {
       const after = Number(a.headers['last-event-id'] ?? 0);
       res.writeHead(200, sealed(a));
       if (after === 0) {
@@ -360,7 +354,7 @@
   });
 
   it('does not let a stream that ends early look whole', async () => {
-    const cut = (a: Parameters<typeof sealed>[0], res: http.ServerResponse) => {
+    const cut = (a: Arrival, res: http.ServerResponse) => {
       res.writeHead(200, sealed(a));
       res.write('id: 1\ndata: x\n\nid: 2\nda', () =>
         setTimeout(() => res.destroy(), 20),
@@ -444,10 +438,7 @@
   }).timeout(20_000);
 
   it('finishes what runs when it is stopped, and refuses what comes late', async () => {
-    const slow = (
-      a: Parameters<typeof sealed>[0],
-      res: http.ServerResponse,
-    ) => {
+    const slow = (a: Arrival, res: http.ServerResponse) => {
       setTimeout(() => {
         res.writeHead(200, sealed(a));
         res.end('slow');
