--- a/test/fuzz/mapchange-world.ts
+++ b/test/fuzz/mapchange-world.ts
@@ -81,6 +81,8 @@
   refusedArms = 0;
   readonly ranks: Rank[] = [];
   readonly coordinators: Coordinator[] = [];
+  /** Ranks whose machine answers nobody else while it is frozen. */
+  private readonly dark = new Map<number, number>();
   private events: Event[] = [];
   private readonly generator;
   private readonly contents = new Map<string, string>();
@@ -105,6 +107,27 @@
     this.every(TICK_MS, 3, () => this.misfortune());
   }
 
+  /**
+   * Freezes the machine of a coordinator, its rank included, as soon as it has
+   * its group held; returns the pass that was begun last.
+   */
+  freezeHolder(index: number, forMs: number): number {
+    const holds = () => {
+      const {kind} = this.coordinators[index]!.state.phase;
+      return kind === 'holding' || kind === 'arming';
+    };
+    const LIMIT_MS = 60_000;
+    while (!holds() && this.nowMs < LIMIT_MS) this.run(this.nowMs + 1);
+    const endsMs = this.nowMs + forMs;
+    this.coordinators[index]!.frozenUntilMs = endsMs;
+    this.dark.set(index, endsMs);
+    return this.pass;
+  }
+
+  private reaches(from: number, rank: number): boolean {
+    return from === rank || (this.dark.get(rank) ?? 0) <= this.nowMs;
+  }
+
   /** Runs until `untilMs`; throws where a pass mixes two maps. */
   run(untilMs: number): void {
     while (this.events.length > 0) {
@@ -264,7 +287,7 @@
       coordinator.state = {...fresh, version};
     }
     for (let rank = 0; rank < SIZE; rank++) {
-      if (this.chance(this.faults.lost)) continue;
+      if (this.chance(this.faults.lost) || !this.reaches(index, rank)) continue;
       const readMs = this.nowMs + 1 + this.random(3);
       this.at(readMs, () => {
         const report = this.reportOf(rank);
@@ -343,6 +366,7 @@
         this.deliver(index, {kind: 'answer', rank, order, outcome}),
       );
     const UNANSWERED_MS = 200;
+    if (!this.reaches(index, rank)) return answer('unknown', UNANSWERED_MS);
     if (this.chance(this.faults.lost)) {
       const arrives = this.chance(500);
       if (arrives)
--- a/test/mapchange.test.ts
+++ b/test/mapchange.test.ts
@@ -7,7 +7,7 @@
  */
 import {expect} from 'chai';
 import {runMapChange} from './fuzz/mapchange';
-import {NO_FAULTS} from './fuzz/mapchange-world';
+import {NO_FAULTS, World} from './fuzz/mapchange-world';
 
 const STEPS = 2_000;
 const SEEDS = 20;
@@ -17,6 +17,14 @@
     for (let seed = 1; seed <= SEEDS; seed++) runMapChange(seed, STEPS);
   }).timeout(120_000);
 
+  it('goes on while the machine that held the group is frozen', () => {
+    // Callers leave a stream after a gap of two seconds.
+    const world = new World(1, NO_FAULTS);
+    const held = world.freezeHolder(0, 4_000);
+    world.run(world.nowMs + 2_000);
+    expect(world.pass).to.be.above(held + 3);
+  });
+
   it('reaches changes and clearings in the fuzz model', () => {
     // A model in which nothing succeeds or fails would find no fault.
     const calm = runMapChange(5, STEPS);
