--- a/src/gateway/front.ts
+++ b/src/gateway/callerserver.ts
@@ -12,7 +12,7 @@
 import {Route} from './model';
 import {Headers} from './protocol';
 
-export interface FrontParts {
+export interface CallerServerParts {
   readonly headers: Headers;
   readonly clock: Clock;
   readonly log: Log;
@@ -48,12 +48,12 @@
  */
 const CERTAIN_MS = 2_000;
 
-export class Front {
+export class CallerServer {
   private readonly server: http.Server;
   private draining = false;
   private closing = false;
 
-  constructor(private readonly parts: FrontParts) {
+  constructor(private readonly parts: CallerServerParts) {
     this.server = http.createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -58,8 +58,8 @@
       requestsAt(loads, e.id, nowMs) < e.slots + AHEAD && around.bearsMore(e),
   );
   if (bearing.length === 0) return {kind: 'full'};
-  const swift = bearing.filter(e => !isSlow(loads, e.id, nowMs));
-  const endpoint = leastLoaded(swift.length > 0 ? swift : bearing, around);
+  const notSlow = bearing.filter(e => !isSlow(loads, e.id, nowMs));
+  const endpoint = leastLoaded(notSlow.length > 0 ? notSlow : bearing, around);
   return {kind: 'endpoint', endpoint};
 }
 
--- a/src/gateway/desk.ts
+++ b/src/gateway/dispatcher.ts
@@ -4,7 +4,13 @@
  */
 import {Clock} from '../kernel/clock';
 import {Log} from '../observe/log';
-import {countFirst, noRetries, RetryState, takeRetry} from '../routing/retry';
+import {
+  countFirst,
+  noRetries,
+  RETRY_WINDOW_S,
+  RetryState,
+  takeRetry,
+} from '../routing/retry';
 import {answeredBy, failedAt, nothingAvoided} from './avoidance';
 import {
   Catalog,
@@ -19,7 +25,7 @@
 } from './catalog';
 import {Choice, choose} from './choose';
 import {bearsOneMore, noColdSends, sentToCold} from './cold';
-import {Desk, Ended, Exchange} from './exchange';
+import {Dispatcher, Ended, Exchange} from './exchange';
 import {finished, Loads, noLoads, reported, retained, sent} from './load';
 import {EndpointLoad} from './model';
 import {
@@ -32,7 +38,7 @@
   without,
 } from './queue';
 
-export interface DeskSettings {
+export interface DispatcherSettings {
   readonly zone: string;
   /** Retries for each first attempt. */
   readonly retryRatio: number;
@@ -56,13 +62,10 @@
 /** Gateways that share the bounds while none has been counted. */
 const ASSUMED_GATEWAYS = 12;
 
-/** Length of the retry budget's window, in seconds. */
-const WINDOW_S = 10;
-
 /** Part of the shared budget that is handed out, for gateways not counted. */
 const HANDED_OUT = 0.8;
 
-export class PlacementDesk implements Desk {
+export class RequestDispatcher implements Dispatcher {
   private catalog: Catalog = emptyCatalog;
   private loads: Loads = noLoads;
   private avoidance = nothingAvoided;
@@ -74,7 +77,7 @@
   private looking = false;
 
   constructor(
-    private readonly settings: DeskSettings,
+    private readonly settings: DispatcherSettings,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly onEnd: (exchange: Exchange, ended: Ended) => void,
@@ -189,7 +192,7 @@
   takeRetry(service: string): boolean {
     const {retryRatio, retrySlack} = this.settings;
     const slack = (retrySlack * HANDED_OUT) / this.gateways;
-    const budget = {retryRatio, retryFloorPerS: slack / WINDOW_S};
+    const budget = {retryRatio, retryFloorPerS: slack / RETRY_WINDOW_S};
     const taken = takeRetry(
       this.retries.get(service) ?? noRetries,
       budget,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -16,7 +16,7 @@
 import {Attempt, belongsTo, Head, startAttempt} from './upstream';
 
 /** What an exchange needs of the gateway around it. */
-export interface Desk {
+export interface Dispatcher {
   /** Finds an endpoint now or later, or refuses the request. */
   place(exchange: Exchange): void;
   /** An attempt ended; `answered` tells whether the endpoint answered. */
@@ -90,7 +90,7 @@
 
   constructor(
     readonly incoming: Incoming,
-    private readonly desk: Desk,
+    private readonly dispatcher: Dispatcher,
     private readonly parts: Parts,
   ) {
     const {route, call, arrivedMs, res} = incoming;
@@ -253,11 +253,11 @@
     const leftMs = this.deadlineMs - this.parts.clock.elapsedMs();
     const circumstance = {leftMs, withinBudget: true};
     let step = nextStep(this.attempts, outcome, circumstance);
-    if (step === 'again' && !this.desk.takeRetry(this.incoming.service)) {
+    if (step === 'again' && !this.dispatcher.takeRetry(this.incoming.service)) {
       const refused = {leftMs, withinBudget: false};
       step = nextStep(this.attempts, outcome, refused);
     }
-    if (step === 'again') return this.desk.place(this);
+    if (step === 'again') return this.dispatcher.place(this);
     if (this.incoming.res.headersSent) return this.cut(reason);
     if (step === 'deliver' && this.head) {
       this.writeWhole();
@@ -278,7 +278,7 @@
     this.endpoint = undefined;
     this.attempt = undefined;
     this.silence?.cancel();
-    if (id !== undefined) this.desk.released(id, answered);
+    if (id !== undefined) this.dispatcher.released(id, answered);
   }
 
   private timedOut(): void {
@@ -337,7 +337,7 @@
     this.over = true;
     for (const timer of this.timers) timer.cancel();
     this.silence?.cancel();
-    this.desk.ended(this, {outcome, status, tries: this.tries});
+    this.dispatcher.ended(this, {outcome, status, tries: this.tries});
   }
 }
 
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -13,9 +13,9 @@
   endpointsChanged,
   operatorChanged,
 } from './gateway/catalog';
-import {PlacementDesk} from './gateway/desk';
+import {RequestDispatcher} from './gateway/dispatcher';
 import {Exchange} from './gateway/exchange';
-import {Front} from './gateway/front';
+import {CallerServer} from './gateway/callerserver';
 import {LoadPublisher, LoadSubscriber} from './gateway/loads';
 import {listenAt, readinessServer} from './gateway/readiness';
 import {Watch} from './gateway/watch';
@@ -71,7 +71,7 @@
   const caller = new JsonCaller();
   const store = storeClient(deployment.store, caller);
   const registry = new Registry();
-  const desk = new PlacementDesk(
+  const dispatcher = new RequestDispatcher(
     {zone, retryRatio: bounds.retryRatio, retrySlack: bounds.retrySlack},
     clock,
     log,
@@ -96,14 +96,14 @@
       });
     },
   );
-  const front = new Front({
+  const callerServer = new CallerServer({
     headers: platformHeaders,
     clock,
     log,
-    catalog: () => desk.current(),
+    catalog: () => dispatcher.current(),
     submit: incoming =>
-      desk.submit(
-        new Exchange(incoming, desk, {headers: platformHeaders, clock}),
+      dispatcher.submit(
+        new Exchange(incoming, dispatcher, {headers: platformHeaders, clock}),
       ),
     refused: (status, reason) =>
       registry.count('boragemill_refused_total', {
@@ -117,11 +117,11 @@
     operatorTable(store, log),
     {
       accept(change, whole, provedMs) {
-        desk.operatorChanged(change, whole, provedMs);
-        const idleMs = desk.current().configuration?.limits.idleMs;
-        if (idleMs !== undefined) front.setIdle(idleMs);
+        dispatcher.operatorChanged(change, whole, provedMs);
+        const idleMs = dispatcher.current().configuration?.limits.idleMs;
+        if (idleMs !== undefined) callerServer.setIdle(idleMs);
       },
-      confirm: provedMs => desk.operatorConfirmed(provedMs),
+      confirm: provedMs => dispatcher.operatorConfirmed(provedMs),
     },
     OPERATOR_WAIT_MS,
     clock,
@@ -130,7 +130,7 @@
   const endpoints = new Watch(
     endpointTable(store, log),
     {
-      accept: (change, whole) => desk.endpointsChanged(change, whole),
+      accept: (change, whole) => dispatcher.endpointsChanged(change, whole),
       confirm: () => undefined,
     },
     ENDPOINT_WAIT_MS,
@@ -139,25 +139,26 @@
   );
   const loads = new LoadSubscriber({
     self: {host: ip, port: peerPort},
-    hosts: () => hostsOf(desk),
+    hosts: () => hostsOf(dispatcher),
     accept: report => {
-      const found = desk
+      const found = dispatcher
         .current()
         .endpoints.find(e => e.address === report.address);
-      if (found) desk.loadReported({...report, id: found.id}, report.gateways);
+      if (found)
+        dispatcher.loadReported({...report, id: found.id}, report.gateways);
     },
     clock,
     log,
   });
-  const readiness: http.Server = readinessServer(() => front.ready());
+  const readiness: http.Server = readinessServer(() => callerServer.ready());
   const metrics = metricsServer(registry);
-  registry.gauge('boragemill_requests_in_flight', () => desk.inFlight);
+  registry.gauge('boragemill_requests_in_flight', () => dispatcher.inFlight);
   registry.gauge(
     'boragemill_configuration_version',
-    () => desk.current().configuration?.version ?? 0,
+    () => dispatcher.current().configuration?.version ?? 0,
   );
   registry.gauge('boragemill_configuration_age_ms', () =>
-    Math.round(clock.elapsedMs() - desk.current().operatorProvedMs),
+    Math.round(clock.elapsedMs() - dispatcher.current().operatorProvedMs),
   );
   return {
     async start() {
@@ -166,14 +167,14 @@
       await loads.start();
       await listenForMetrics(metrics, deployment, log);
       if (deployment.readiness) await listenAt(readiness, deployment.readiness);
-      if (deployment.callers) await front.listen(deployment.callers);
+      if (deployment.callers) await callerServer.listen(deployment.callers);
     },
     async stop() {
-      front.drain();
+      callerServer.drain();
       const endMs = clock.elapsedMs() + bounds.graceMs - END_MARGIN_MS;
       await pause(clock, DRAIN_MS);
-      front.close();
-      while (desk.inFlight > 0 && clock.elapsedMs() < endMs) {
+      callerServer.close();
+      while (dispatcher.inFlight > 0 && clock.elapsedMs() < endMs) {
         await pause(clock, POLL_MS);
       }
       operator.stop();
@@ -187,8 +188,8 @@
 }
 
 /** Hosts of endpoints that may have a sidecar: those of model engines. */
-function hostsOf(desk: PlacementDesk): readonly string[] {
-  const {endpoints, services} = desk.current();
+function hostsOf(dispatcher: RequestDispatcher): readonly string[] {
+  const {endpoints, services} = dispatcher.current();
   const hosts = endpoints
     .valueSeq()
     .filter(e => services.get(e.service)?.engine !== undefined)
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -13,11 +13,11 @@
   readonly deleted?: boolean;
 }
 
-/** How the store treats calls: as usual, with 503, or with silence. */
-export type StoreMood = 'well' | 'busy' | 'silent';
+/** How the store answers: as usual, with 503, or not at all. */
+export type StoreMode = 'normal' | 'busy' | 'silent';
 
 export class StoreStandin {
-  mood: StoreMood = 'well';
+  mode: StoreMode = 'normal';
   calls = 0;
   private version = 0;
   /** Changes before this version are forgotten. */
@@ -65,10 +65,10 @@
 
   private handle(req: http.IncomingMessage, res: http.ServerResponse): void {
     this.calls += 1;
-    if (this.mood === 'silent') return;
+    if (this.mode === 'silent') return;
     const {pathname, searchParams} = new URL(req.url ?? '/', 'http://store');
     const table = searchParams.get('table') ?? '';
-    if (this.mood === 'busy') return this.answer(res, 503, {});
+    if (this.mode === 'busy') return this.answer(res, 503, {});
     if (pathname === '/boragemill/rows-get') return this.read(table, res);
     if (pathname === '/boragemill/rows-feed') {
       const after = Number(searchParams.get('after'));
@@ -95,8 +95,8 @@
     const finish = () => {
       this.waiting.delete(look);
       clearTimeout(timer);
-      if (this.mood === 'silent') return;
-      if (this.mood === 'busy') return this.answer(res, 503, {});
+      if (this.mode === 'silent') return;
+      if (this.mode === 'busy') return this.answer(res, 503, {});
       if (after < this.oldest) return this.answer(res, 410, {});
       this.answer(res, 200, {rows: changed(), ver: this.version});
     };
--- a/test/fuzz/mapchange-world.ts
+++ b/test/fuzz/mapchange-world.ts
@@ -91,7 +91,7 @@
     seed: number,
     private faults: Faults,
     /** Breaks the protocol, to show that the check can fail. */
-    private readonly careless = false,
+    private readonly withoutHold = false,
   ) {
     this.generator = xoroshiro128plus(seed);
     for (let rank = 0; rank < SIZE; rank++) this.ranks.push(this.newRank());
@@ -104,7 +104,7 @@
       this.every(TICK_MS, own * 7, () => this.turn(own));
     }
     this.every(PASS_MS, PASS_MS, () => this.beginPass());
-    this.every(TICK_MS, 3, () => this.misfortune());
+    this.every(TICK_MS, 3, () => this.injectFaults());
   }
 
   /**
@@ -181,7 +181,7 @@
     next(firstMs);
   }
 
-  private misfortune(): void {
+  private injectFaults(): void {
     if (this.chance(this.faults.reborn)) this.formAgain();
     for (const [i, coordinator] of this.coordinators.entries()) {
       if (this.chance(this.faults.restarts)) {
@@ -331,8 +331,8 @@
       this.clearings += 1;
     }
     for (const {rank, epoch, order} of orders) {
-      // Carelessness: the hold is left out, so the group does not wait.
-      if (this.careless && order.kind === 'hold') {
+      // The hold is left out, so the group does not wait.
+      if (this.withoutHold && order.kind === 'hold') {
         const outcome = 'accepted';
         this.deliver(index, {kind: 'answer', rank, order, outcome});
         continue;
--- a/test/fuzz/mapchange.ts
+++ b/test/fuzz/mapchange.ts
@@ -28,9 +28,9 @@
   seed: number,
   steps: number,
   faults = FAULTS[seed % FAULTS.length]!,
-  careless = false,
+  withoutHold = false,
 ): Seen {
-  const world = new World(seed, faults, careless);
+  const world = new World(seed, faults, withoutHold);
   try {
     world.run(steps * STEP_MS);
     world.setFaults(NO_FAULTS);
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -133,7 +133,7 @@
   });
 
   beforeEach(async () => {
-    store.mood = 'well';
+    store.mode = 'normal';
     first.behaviour = answering('first');
     second.behaviour = answering('second');
     first.arrivals.length = 0;
@@ -425,14 +425,14 @@
   });
 
   it('refuses keys with 503 when the store has been silent too long', async () => {
-    store.mood = 'silent';
+    store.mode = 'silent';
     await until(
       async () => (await send('/look/1')).status === 503,
       'keys to be refused',
     );
     expect((await send('/open/1')).status).to.equal(200);
     expect(await ready()).to.equal(false);
-    store.mood = 'well';
+    store.mode = 'normal';
     await until(ready, 'the store to be followed again');
     expect((await send('/look/1')).status).to.equal(200);
   }).timeout(20_000);
