--- a/scripts/reporter.cjs
+++ b/scripts/reporter.cjs
@@ -38,7 +38,12 @@
     runner.once('end', () => {
       for (const title of red) console.log(`known red: ${title}`);
       console.log(`${passed} passed, ${failed} failed`);
-      process.exitCode = failed > 0 || passed === 0 ? 1 : 0;
+      this.unlisted = passed === 0 ? Math.max(1, failed) : failed;
     });
   }
+
+  /** Mocha exits with the number passed on, which counts listed tests too. */
+  done(failures, exit) {
+    exit(this.unlisted);
+  }
 };
