Expert groups go on while the coordinator's machine is frozen

Cause: the coordinator held its own rank.

Change: each coordinator holds another rank, arms its own rank last, and another coordinator may leave the unreachable rank out when some rank took a higher version before any was disarmed. Clearing moved to a module of its own. Found by the extended model and corrected on the way: holds of an earlier life of a process, disarming under a hold that somebody else had released, evidence lost when a clearing coordinator was lost too, a late order to let go.

--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -9,21 +9,15 @@
 import {Clock, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {Agent} from './agent';
-import {
-  ChangeState,
-  decideChange,
-  initialChange,
-  Input,
-  mayBegin,
-  Order,
-} from './change';
+import {decideChange, mayBegin} from './change';
+import {ChangeState, initialChange, Input, Order} from './changestate';
 import {Demand, observed} from './demand';
+import {ExpertSets, mapInUse} from './inuse';
 import {Member} from './members';
 import {improvedMap, Limits} from './placement';
 import {RankMap, RankReport, RankState} from './rank';
 
-export interface ExpertLimits extends Limits {
-  readonly sets: number;
+export interface ExpertLimits extends Limits, ExpertSets {
   /** Time in which a rank copies one expert, in milliseconds. */
   readonly copyMs: number;
 }
@@ -46,9 +40,15 @@
 const WATCH_MS = 60;
 /**
  * Silence after which the next rank takes over, in milliseconds. A coordinator
- * may be gone while the group is held, and callers leave after two seconds.
+ * may be gone while the group is held, and callers leave after two seconds. It
+ * asks at least each `READ_MS`.
  */
-const SILENCE_MS = 900;
+const SILENCE_MS = 600;
+/**
+ * Longest wait for the ranks' reports, in ms; later ones count as they come. A
+ * group that a frozen machine left held waits for each round of reports.
+ */
+const POLL_MS = 100;
 /** Further silence for each lower rank, so that one takes over first. */
 const SILENCE_PER_RANK_MS = 100;
 /** Time after which addresses of other groups are asked again, in ms. */
@@ -66,6 +66,8 @@
   private readonly members = new Map<number, Member>();
   private readonly known = new Map<string, Known>();
   private readonly reached = new Map<string, Member>();
+  /** Addresses whose answer is awaited. */
+  private readonly asking = new Set<string>();
   private readMs = -Infinity;
   /** Time at which the ranks can have copied what was ordered. */
   private copiedMs = -Infinity;
@@ -172,9 +174,12 @@
       if (!known || known.group === own.group) return true;
       return nowMs - known.askedMs > RECALL_MS;
     });
-    await Promise.all(
-      asked.map(address => this.ask(address, own, withCounts, nowMs)),
+    const answers = asked.map(address =>
+      this.ask(address, own, withCounts, nowMs),
     );
+    const {clock} = this.parts;
+    const limit = new Promise<void>(done => clock.after(POLL_MS, done));
+    await Promise.race([Promise.all(answers), limit]);
   }
 
   private memberAt(address: string): Member {
@@ -189,6 +194,8 @@
     withCounts: boolean,
     nowMs: number,
   ): Promise<void> {
+    if (this.asking.has(address)) return;
+    this.asking.add(address);
     const member = this.memberAt(address);
     try {
       const state = await member.state(own.rank, withCounts);
@@ -203,6 +210,8 @@
       this.apply({kind: 'report', report: state});
     } catch (error) {
       this.parts.log('debug', 'rank silent', {address, reason: String(error)});
+    } finally {
+      this.asking.delete(address);
     }
   }
 
@@ -238,24 +247,20 @@
     for (const order of orders) void this.send(order);
   }
 
-  private async send({rank, epoch, order}: Order): Promise<void> {
+  private async send({rank, epoch, order, direct}: Order): Promise<void> {
     const member = this.members.get(rank);
-    const outcome = member ? await member.order(epoch, order) : 'unknown';
+    const outcome = member
+      ? await member.order(epoch, order, direct)
+      : 'unknown';
     // Another formation of the group has begun meanwhile.
     if (this.change?.epoch !== epoch) return;
     this.apply({kind: 'answer', rank, order, outcome});
   }
 
-  /** The map in use where all ranks report the same version of it. */
   private inUse(): RankMap | undefined {
-    const {change, states} = this;
-    if (!change || states.size !== change.size) return undefined;
-    const ranks = Array.from({length: change.size}, (_, r) => states.get(r)!);
-    const [first] = ranks;
-    if (ranks.some(r => r === undefined || r.map !== first!.map)) {
-      return undefined;
-    }
-    return first!.experts.map((_, set) => ranks.map(r => r.experts[set]!));
+    const limits = this.parts.limits();
+    if (!this.change || !limits) return undefined;
+    return mapInUse(this.states, this.change.size, limits);
   }
 
   private plan(nowMs: number): void {
@@ -264,6 +269,8 @@
     if (!limits || !change || this.states.size !== change.size) return;
     const states = [...this.states.values()];
     if (states.some(s => s.counts.length === 0)) return;
+    // A switch falls between the readings, or a rank is silent.
+    if (states.some(s => s.map !== states[0]!.map)) return;
     this.demand = observed(this.demand, states, limits.sets, nowMs);
     if (!this.demand.known || !mayBegin(change, nowMs) || this.stopped) return;
     const map = this.inUse();
--- a/src/ranks/members.ts
+++ b/src/ranks/members.ts
@@ -40,8 +40,12 @@
   /** Address of the endpoint. */
   readonly address: string;
   state(coordinator: number, withCounts: boolean): Promise<RankState>;
-  /** Never rejects. */
-  order(epoch: number, order: RankOrder): Promise<OrderOutcome>;
+  /** Never rejects. A direct order does not go through the rank's sidecar. */
+  order(
+    epoch: number,
+    order: RankOrder,
+    direct: boolean,
+  ): Promise<OrderOutcome>;
 }
 
 /**
@@ -91,8 +95,8 @@
         return engineState();
       }
     },
-    async order(epoch, order) {
-      if (isSilent()) return engine.order(epoch, order, ORDER_MS);
+    async order(epoch, order, direct) {
+      if (direct || isSilent()) return engine.order(epoch, order, ORDER_MS);
       try {
         const {status, body} = await caller.call(
           'POST',
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -253,6 +253,7 @@
       if (!experts) return undefined;
       return {
         sets: experts.sets,
+        experts: experts.experts,
         slotsPerRank: experts.slotsPerRank,
         newPerRank: Math.min(experts.newPerChange, NEW_PER_RANK),
         newPerRankTotal: NEW_PER_RANK,
--- a/test/fuzz/mapchange-world.ts
+++ b/test/fuzz/mapchange-world.ts
@@ -10,13 +10,8 @@
  */
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {
-  ChangeState,
-  decideChange,
-  initialChange,
-  Input,
-  mayBegin,
-} from '../../src/ranks/change';
+import {decideChange, mayBegin} from '../../src/ranks/change';
+import {ChangeState, initialChange, Input} from '../../src/ranks/changestate';
 import {
   OrderOutcome,
   RankMap,
@@ -38,7 +33,11 @@
   readonly doubled: number;
   readonly restarts: number;
   readonly freezes: number;
+  /** Freezes of a coordinator's machine, whose rank answers nobody then. */
+  readonly dark: number;
   readonly reborn: number;
+  /** Times without requests. */
+  readonly idle: number;
 }
 
 export const NO_FAULTS: Faults = {
@@ -47,7 +46,9 @@
   doubled: 0,
   restarts: 0,
   freezes: 0,
+  dark: 0,
   reborn: 0,
+  idle: 0,
 };
 
 interface Rank {
@@ -83,6 +84,7 @@
   readonly coordinators: Coordinator[] = [];
   /** Ranks whose machine answers nobody else while it is frozen. */
   private readonly dark = new Map<number, number>();
+  private idleUntilMs = 0;
   private events: Event[] = [];
   private readonly generator;
   private readonly contents = new Map<string, string>();
@@ -118,10 +120,14 @@
     };
     const LIMIT_MS = 60_000;
     while (!holds() && this.nowMs < LIMIT_MS) this.run(this.nowMs + 1);
+    this.freezeMachine(index, forMs);
+    return this.pass;
+  }
+
+  private freezeMachine(index: number, forMs: number): void {
     const endsMs = this.nowMs + forMs;
     this.coordinators[index]!.frozenUntilMs = endsMs;
     this.dark.set(index, endsMs);
-    return this.pass;
   }
 
   private reaches(from: number, rank: number): boolean {
@@ -193,6 +199,9 @@
       if (this.chance(this.faults.freezes)) {
         this.coordinators[i]!.frozenUntilMs = this.nowMs + this.random(5_000);
       }
+      if (this.chance(this.faults.dark)) {
+        this.freezeMachine(i, this.random(5_000));
+      }
     }
   }
 
@@ -202,6 +211,11 @@
   }
 
   private beginPass(): void {
+    // An idle group begins no passes.
+    if (this.chance(this.faults.idle)) {
+      this.idleUntilMs = this.nowMs + this.random(3_000);
+    }
+    if (this.idleUntilMs > this.nowMs) return;
     const next = this.pass + 1;
     if (this.ranks.some(r => r.held === next)) return;
     this.pass = next;
@@ -361,6 +375,13 @@
       this.coordinators[index]!.frozenUntilMs = endsMs;
       this.at(endsMs, () => this.wake(index));
     }
+    // A machine that freezes within a change, some with the order under way.
+    const stage = order.kind === 'hold' || order.kind === 'arm';
+    if (stage && this.chance(this.faults.dark)) {
+      this.at(this.nowMs + this.random(12), () =>
+        this.freezeMachine(index, 200 + this.random(4_000)),
+      );
+    }
     const answer = (outcome: OrderOutcome, afterMs: number) =>
       this.at(this.nowMs + afterMs, () =>
         this.deliver(index, {kind: 'answer', rank, order, outcome}),
--- a/test/fuzz/mapchange.ts
+++ b/test/fuzz/mapchange.ts
@@ -5,12 +5,24 @@
  */
 import {Faults, NO_FAULTS, World} from './mapchange-world';
 
-const FAULTS: readonly Faults[] = [
+export const FAULTS: readonly Faults[] = [
   NO_FAULTS,
   {...NO_FAULTS, late: 40},
   {...NO_FAULTS, lost: 30, doubled: 60},
   {...NO_FAULTS, restarts: 20, freezes: 20},
-  {lost: 20, late: 20, doubled: 40, restarts: 15, freezes: 15, reborn: 2},
+  {...NO_FAULTS, dark: 30},
+  {...NO_FAULTS, dark: 30, late: 40, restarts: 10},
+  {...NO_FAULTS, dark: 20, late: 20, freezes: 20, idle: 10},
+  {
+    lost: 20,
+    late: 20,
+    doubled: 40,
+    restarts: 15,
+    freezes: 15,
+    dark: 10,
+    reborn: 2,
+    idle: 2,
+  },
 ];
 
 /** Time of one step; the world is polled ten times a second. */
--- a/test/members.test.ts
+++ b/test/members.test.ts
@@ -62,7 +62,7 @@
     expect(state).to.include({held: 8, pass: 7});
     expect(state.experts).to.deep.equal([[1, 2]]);
     const go = {kind: 'go', pass: 8} as const;
-    expect(await rank.order(1, go)).to.equal('accepted');
+    expect(await rank.order(1, go, false)).to.equal('accepted');
     expect(orders).to.deep.equal([go]);
   });
 });
