Map changes: arm in three waves, and complete a clearing also when not leading

The machine froze some ms after the hold, when all ranks but its own were armed, so nobody could tell whether its own was.

Change: most ranks are armed at once, then one more, and the own rank last, so that a rank that is not armed is left as proof. A coordinator that no longer leads completes what may hold the group. A rank that holds nothing of a set is given one expert in the map that only raises a version. The first guess, that engines refuse such empty lists, was not what the trace showed; it stays as a precaution.

--- a/src/ranks/change.ts
+++ b/src/ranks/change.ts
@@ -42,7 +42,6 @@
   rested,
   Result,
   toAll,
-  toOthers,
 } from './changestate';
 import {
   clearingAnswered,
@@ -209,8 +208,9 @@
   const next = {...state, phase: arming};
   const {version} = state;
   const arm: RankOrder = {kind: 'arm', version, pass};
-  // A group of one rank has no others to wait for.
-  const orders = state.size > 1 ? toOthers(next, arm) : toAll(next, arm);
+  const orders = armedNext(next, new Set()).map(rank =>
+    orderFor(next, rank, arm),
+  );
   return {state: next, orders};
 }
 
@@ -234,6 +234,26 @@
   return clearOwn(state, phase.pass, around);
 }
 
+/**
+ * The ranks to be armed now: most at once, then one more, and the own rank
+ * last. A coordinator that is lost while most are being armed leaves one that
+ * is not, which proves that its own rank is not armed either.
+ */
+function armedNext(
+  {own, size}: ChangeState,
+  armed: ReadonlySet<number>,
+): readonly number[] {
+  const second = (own + 1) % size;
+  const first = Array.from({length: size}, (_, rank) => rank).filter(
+    rank => rank !== own && rank !== second,
+  );
+  for (const wave of [first, [second], [own]]) {
+    const left = wave.filter(rank => !armed.has(rank));
+    if (left.length > 0) return left;
+  }
+  return [];
+}
+
 function armed(
   state: ChangeState,
   phase: Arming,
@@ -248,13 +268,12 @@
     return release(state, pass, [holderOf(own, size)], true, nowMs);
   }
   const next: ChangeState = {...state, phase: {...phase, armed: ranks}};
-  const othersArmed = ranks.size === size - 1 && !ranks.has(own);
-  return {
-    state: next,
-    orders: othersArmed
-      ? [orderFor(next, own, {kind: 'arm', version, pass})]
-      : [],
-  };
+  const arm: RankOrder = {kind: 'arm', version, pass};
+  const before = armedNext(state, phase.armed);
+  const orders = armedNext(next, ranks)
+    .filter(wanted => !before.includes(wanted))
+    .map(wanted => orderFor(next, wanted, arm));
+  return {state: next, orders};
 }
 
 function reportSeen(
--- a/src/ranks/changestate.ts
+++ b/src/ranks/changestate.ts
@@ -179,14 +179,6 @@
   return round * state.size + state.own;
 }
 
-/** An order for all ranks but the coordinator's. */
-export function toOthers(
-  state: ChangeState,
-  order: RankOrder,
-): readonly Order[] {
-  return toAll(state, order).filter(({rank}) => rank !== state.own);
-}
-
 export function toAll(state: ChangeState, order: RankOrder): readonly Order[] {
   return Array.from({length: state.size}, (_, rank) =>
     orderFor(state, rank, order),
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -97,12 +97,7 @@
     this.stopped = true;
     const END_MS = 1_500;
     const endMs = this.parts.clock.elapsedMs() + END_MS;
-    while (
-      this.change &&
-      this.change.phase.kind !== 'idle' &&
-      this.change.phase.kind !== 'preparing' &&
-      this.parts.clock.elapsedMs() < endMs
-    ) {
+    while (this.mayHold() && this.parts.clock.elapsedMs() < endMs) {
       await new Promise<void>(done => this.parts.clock.after(WATCH_MS, done));
     }
     this.timer?.cancel();
@@ -135,10 +130,12 @@
       log('info', leads ? 'coordinating' : 'not coordinating', {
         group: own.group,
         rank: own.rank,
+        sinceAskedMs: Math.round(agent.sinceAsked()),
       });
-      if (!leads) this.change = undefined;
     }
-    if (!leads) {
+    // A hold that was placed is let go also by one who leads no more.
+    if (!leads && !this.mayHold()) {
+      this.change = undefined;
       this.readMs = nowMs;
       return;
     }
@@ -148,7 +145,13 @@
     this.apply({kind: 'tick'});
     if (!read) return;
     this.readMs = nowMs;
-    this.plan(nowMs);
+    if (leads) this.plan(nowMs);
+  }
+
+  /** Whether the group may be held by this coordinator. */
+  private mayHold(): boolean {
+    const kind = this.change?.phase.kind ?? 'idle';
+    return kind !== 'idle' && kind !== 'preparing';
   }
 
   /** Starts anew where the group has formed again. */
--- a/src/ranks/inuse.ts
+++ b/src/ranks/inuse.ts
@@ -3,7 +3,9 @@
  *
  * Each rank tells only which experts it holds itself. A rank that has not
  * reported since the last change is taken to hold what no other does; with
- * that, others can still be given the map in use under a higher version.
+ * that, others can still be given the map in use under a higher version. An
+ * engine refuses a map in which a rank holds nothing of a set, so such a rank
+ * is given one expert that others hold as well.
  */
 import {RankMap, RankState} from './rank';
 
@@ -29,7 +31,8 @@
     );
     return Array.from({length: size}, (_, rank) => {
       const state = states.get(rank);
-      return state?.map === newest ? (state.experts[set] ?? []) : rest;
+      if (state?.map === newest) return state.experts[set] ?? [];
+      return rest.length > 0 ? rest : [0];
     });
   });
 }
--- a/test/inuse.test.ts
+++ b/test/inuse.test.ts
@@ -51,6 +51,12 @@
     expect(mapInUse(states, 3, SETS)).to.deep.equal([[[0, 1], [1, 2], [3]]]);
   });
 
+  it('gives a silent rank an expert where others hold all', () => {
+    // Engines refuse a map in which a rank holds nothing of a set.
+    const states = statesOf(state(0, 5, [[0, 1]]), state(1, 5, [[2, 3]]));
+    expect(mapInUse(states, 3, SETS)).to.deep.equal([[[0, 1], [2, 3], [0]]]);
+  });
+
   it('takes a rank of an older map for silent', () => {
     const states = statesOf(
       state(0, 5, first!),
