--- a/src/ranks/inuse.ts
+++ b/src/ranks/inuse.ts
@@ -3,9 +3,9 @@
  *
  * Each rank tells only which experts it holds itself. A rank that has not
  * reported since the last change is taken to hold what no other does; with
- * that, others can still be given the map in use under a higher version. An
- * engine refuses a map in which a rank holds nothing of a set, so such a rank
- * is given one expert that others hold as well.
+ * that, others can still be given the map in use under a higher version. It
+ * is not known whether engines take a map in which a rank holds nothing of a
+ * set, so such a rank is given one expert that others hold as well.
  */
 import {RankMap, RankState} from './rank';
 
--- a/test/inuse.test.ts
+++ b/test/inuse.test.ts
@@ -52,7 +52,7 @@
   });
 
   it('gives a silent rank an expert where others hold all', () => {
-    // Engines refuse a map in which a rank holds nothing of a set.
+    // It is not known whether engines take a rank that holds nothing of a set.
     const states = statesOf(state(0, 5, [[0, 1]]), state(1, 5, [[2, 3]]));
     expect(mapInUse(states, 3, SETS)).to.deep.equal([[[0, 1], [2, 3], [0]]]);
   });
