--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -92,6 +92,7 @@
       exchange: Exchange,
       result: ExchangeResult,
     ) => void,
+    private readonly onRetry: (service: string, allowed: boolean) => void,
   ) {}
 
   currentCatalog(): Catalog {
@@ -211,7 +212,8 @@
     });
   }
 
-  takeRetry(service: string): boolean {
+  takeRetry(exchange: Exchange): boolean {
+    const {service, metadata} = exchange.incoming;
     const {retryRatio, retrySlack} = this.settings;
     const slack = (retrySlack * ALLOTTED_SHARE) / this.gateways;
     const budget = {retryRatio, retryFloorPerS: slack / RETRY_WINDOW_S};
@@ -221,6 +223,15 @@
       this.monotonicDate(),
     );
     this.retries.set(service, taken.state);
+    this.onRetry(service, taken.allowed);
+    this.log('info', 'retry', {
+      request: metadata.requestId,
+      service,
+      allowed: taken.allowed,
+      firstAttempts: taken.firstAttempts,
+      retries: taken.retries,
+      gateways: this.gateways,
+    });
     return taken.allowed;
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -30,7 +30,7 @@
   /** Called when another process has the endpoint's address. */
   reportMisdirected(endpoint: string): void;
   /** Takes one retry from the budget; false if there is none left. */
-  takeRetry(service: string): boolean;
+  takeRetry(exchange: Exchange): boolean;
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
 }
 
@@ -272,7 +272,7 @@
     const leftMs = this.deadlineMs - this.deps.clock.elapsedMs();
     const conditions = {leftMs, withinBudget: true};
     let step = nextStep(this.attempts, outcome, conditions);
-    if (step === 'retry' && !this.dispatcher.takeRetry(this.incoming.service)) {
+    if (step === 'retry' && !this.dispatcher.takeRetry(this)) {
       const overBudget = {leftMs, withinBudget: false};
       step = nextStep(this.attempts, outcome, overBudget);
     }
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -31,18 +31,28 @@
   return addCounts(state, now, 1, 0);
 }
 
+export interface RetryDecision {
+  readonly state: RetryState;
+  readonly allowed: boolean;
+  /** First attempts within the window. */
+  readonly firstAttempts: number;
+  /** Retries within the window, without the one decided on. */
+  readonly retries: number;
+}
+
 /** Counts one retry against the budget if the budget allows it. */
 export function takeRetry(
   state: RetryState,
   budget: RetryBudget,
   now: Date,
-): {readonly state: RetryState; readonly allowed: boolean} {
+): RetryDecision {
   const recent = addCounts(state, now, 0, 0);
   const firstAttempts = sumOf(recent, s => s.firstAttempts);
   const retries = sumOf(recent, s => s.retries);
   const floor = budget.retryFloorPerS * RETRY_WINDOW_S;
   const allowed = retries + 1 <= budget.retryRatio * firstAttempts + floor;
-  return {state: allowed ? addCounts(recent, now, 0, 1) : recent, allowed};
+  const next = allowed ? addCounts(recent, now, 0, 1) : recent;
+  return {state: next, allowed, firstAttempts, retries};
 }
 
 function sumOf(state: RetryState, of: (s: SecondCounts) => number): number {
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -21,6 +21,7 @@
 import {TableWatch} from './gateway/tablewatch';
 import {Clock, repeatEvery, systemClock, Timer} from './kernel/clock';
 import {JsonClient} from './kernel/jsonclient';
+import {LoopDelayMonitor} from './observe/loopdelay';
 import {MetricsRegistry} from './observe/prometheus';
 import {Log, logFor} from './observe/log';
 import {Program} from './kernel/program';
@@ -101,11 +102,20 @@
         outcome: ended.outcome,
         status: ended.status,
         ms,
+        loopDelayMs: loopDelay.currentMs(),
         tries: ended.tries
           .map(t => `${t.endpoint}:${t.outcome}:${t.ms}:${t.reason ?? ''}`)
           .join(' '),
       });
     },
+    (service, allowed) =>
+      registry.increment('boragemill_retries_total', {
+        service,
+        allowed: String(allowed),
+      }),
+  );
+  const loopDelay = new LoopDelayMonitor(clock, log, ms =>
+    registry.recordDuration('boragemill_event_loop_delay_ms', ms),
   );
   const callerServer = new CallerServer({
     headers: platformHeaders,
@@ -182,6 +192,7 @@
   );
   return {
     async start() {
+      loopDelay.start();
       void operatorWatch.run();
       void endpointWatch.run();
       await loadSubscriber.start();
@@ -200,6 +211,7 @@
       operatorWatch.stop();
       endpointWatch.stop();
       loadSubscriber.stop();
+      loopDelay.stop();
       readiness.close();
       metrics.close();
       jsonClient.close();
