--- a/bench/support/attempts.ts
+++ b/bench/support/attempts.ts
@@ -2,12 +2,13 @@
  * Retry amplification, computed from the time lines of the entries: all
  * attempts that were started, divided by the first attempts.
  */
+import {RETRY_WINDOW_MS} from '../../src/entry/router';
 import {wallTimeOf} from '../../src/observe/merge';
 import {TimelineEvent} from '../../src/observe/timeline';
-import {RETRY_WINDOW_S} from '../../src/routing/retry';
 import {emptyRules} from '../../src/rules/model';
 
 const MS_PER_S = 1_000;
+const RETRY_WINDOW_S = RETRY_WINDOW_MS / MS_PER_S;
 
 export interface Amplification {
   /** All starts divided by first starts, in the worst second. */
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -20,7 +20,12 @@
   observeFailure,
 } from '../routing/circuit';
 import {PrefixIndex} from '../routing/prefix';
-import {countFirstAttempt, emptyRetryState, takeRetry} from '../routing/retry';
+import {
+  countFirstAttempt,
+  emptyRetryState,
+  RetryBudget,
+  takeRetry,
+} from '../routing/retry';
 import {ActiveRules} from '../rules/activerules';
 import {Load, TargetKind} from '../wire/messages';
 import {LinkedSidecar} from './links';
@@ -46,6 +51,9 @@
 /** Sidecars that a request is offered to at a time. */
 export const OFFERS_PER_ATTEMPT = 2;
 
+/** Window of the retry budget in the rule file, in milliseconds. */
+export const RETRY_WINDOW_MS = 10_000;
+
 export class Router {
   private readonly prefixes = new PrefixIndex();
   private readonly outstanding = new Map<string, number>();
@@ -145,18 +153,30 @@
   }
 
   countFirstAttempt(): void {
-    this.retries = countFirstAttempt(this.retries, this.parts.clock.now());
+    this.retries = countFirstAttempt(
+      this.retries,
+      this.retryBudget(),
+      this.parts.clock.elapsedMs(),
+    );
   }
 
   /** Takes one retry from the retry budget, if it has one left. */
   takeRetryAllowance(): boolean {
-    const {budgets} = this.parts.activeRules.current().rules;
-    const now = this.parts.clock.now();
-    const taken = takeRetry(this.retries, budgets, now);
+    const taken = takeRetry(
+      this.retries,
+      this.retryBudget(),
+      this.parts.clock.elapsedMs(),
+    );
     this.retries = taken.state;
     return taken.allowed;
   }
 
+  private retryBudget(): RetryBudget {
+    const {retryRatio, retryFloorPerS} =
+      this.parts.activeRules.current().rules.budgets;
+    return {retryRatio, retryFloorPerS, windowMs: RETRY_WINDOW_MS};
+  }
+
   /** Sidecars whose circuit is not closed, for `status`. */
   avoidedSidecars(): readonly string[] {
     return this.circuits
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -7,7 +7,7 @@
 import {
   countFirstAttempt,
   emptyRetryState,
-  RETRY_WINDOW_S,
+  RetryBudget,
   RetryState,
   takeRetry,
 } from '../routing/retry';
@@ -54,6 +54,8 @@
   readonly retryRatio: number;
   /** Retries per window beyond the ratio, for all gateways together. */
   readonly retrySlack: number;
+  /** Length of the window over which retries are counted. */
+  readonly retryWindowMs: number;
 }
 
 /** Interval at which waiting requests are served again, in milliseconds. */
@@ -71,6 +73,8 @@
 /** Allotted share of the slack; the rest is for gateways not counted yet. */
 const ALLOTTED_SHARE = 0.8;
 
+const MS_PER_S = 1_000;
+
 export class RequestDispatcher implements Dispatcher {
   private catalog: Catalog = emptyCatalog;
   private loads: Loads = emptyLoads;
@@ -159,7 +163,9 @@
     this.activeRequests += 1;
     const {service} = exchange.incoming;
     const retries = this.retries.get(service) ?? emptyRetryState;
-    this.retries.set(service, countFirstAttempt(retries, this.monotonicDate()));
+    const nowMs = this.clock.elapsedMs();
+    const budget = this.retryBudget();
+    this.retries.set(service, countFirstAttempt(retries, budget, nowMs));
     this.place(exchange);
   }
 
@@ -214,13 +220,10 @@
 
   takeRetry(exchange: Exchange): boolean {
     const {service, metadata} = exchange.incoming;
-    const {retryRatio, retrySlack} = this.settings;
-    const slack = (retrySlack * ALLOTTED_SHARE) / this.gateways;
-    const budget = {retryRatio, retryFloorPerS: slack / RETRY_WINDOW_S};
     const taken = takeRetry(
       this.retries.get(service) ?? emptyRetryState,
-      budget,
-      this.monotonicDate(),
+      this.retryBudget(),
+      this.clock.elapsedMs(),
     );
     this.retries.set(service, taken.state);
     this.onRetry(service, taken.allowed);
@@ -342,9 +345,14 @@
     exchange.refuse('no endpoint', retryDelayMs(leftMs, Math.random));
   }
 
-  /** Monotonic time for the retry budget, which clock steps must not affect. */
-  private monotonicDate(): Date {
-    return new Date(this.clock.elapsedMs());
+  private retryBudget(): RetryBudget {
+    const {retryRatio, retrySlack, retryWindowMs: windowMs} = this.settings;
+    const slack = (retrySlack * ALLOTTED_SHARE) / this.gateways;
+    return {
+      retryRatio,
+      retryFloorPerS: (slack / windowMs) * MS_PER_S,
+      windowMs,
+    };
   }
 }
 
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -5,30 +5,25 @@
  * window, plus a small floor. Otherwise the retries of a failing endpoint's
  * requests would multiply the load on the remaining endpoints.
  */
-import {Budgets} from '../rules/model';
 
-/** Attempts within one second of wall time. */
-interface SecondCounts {
-  readonly second: number;
+/** Attempts within one slot of the window. */
+interface SlotCounts {
+  readonly slot: number;
   readonly firstAttempts: number;
   readonly retries: number;
 }
 
-/** Attempts within the window, second by second, oldest first. */
+/** Attempts within the window, slot by slot, oldest first. */
 export interface RetryState {
-  readonly seconds: readonly SecondCounts[];
+  readonly slots: readonly SlotCounts[];
 }
 
-export type RetryBudget = Pick<Budgets, 'retryRatio' | 'retryFloorPerS'>;
-
-/** Length of the window over which attempts are counted. */
-export const RETRY_WINDOW_S = 10;
-const MS_PER_S = 1_000;
-
-export const emptyRetryState: RetryState = {seconds: []};
-
-export function countFirstAttempt(state: RetryState, now: Date): RetryState {
-  return addCounts(state, now, 1, 0);
+export interface RetryBudget {
+  /** Retries allowed for each first attempt. */
+  readonly retryRatio: number;
+  readonly retryFloorPerS: number;
+  /** Length of the window over which attempts are counted. */
+  readonly windowMs: number;
 }
 
 export interface RetryDecision {
@@ -40,42 +35,77 @@
   readonly retries: number;
 }
 
-/** Counts one retry against the budget if the budget allows it. */
+/** Number of slots into which the window is divided. */
+const SLOTS_PER_WINDOW = 20;
+const MS_PER_S = 1_000;
+
+export const emptyRetryState: RetryState = {slots: []};
+
+/** Counts a first attempt; `nowMs` is monotonic. */
+export function countFirstAttempt(
+  state: RetryState,
+  budget: RetryBudget,
+  nowMs: number,
+): RetryState {
+  return addCounts(state, budget, nowMs, 1, 0);
+}
+
+/**
+ * Counts one retry against the budget if the budget allows it; `nowMs` is
+ * monotonic.
+ */
 export function takeRetry(
   state: RetryState,
   budget: RetryBudget,
-  now: Date,
+  nowMs: number,
 ): RetryDecision {
-  const recent = addCounts(state, now, 0, 0);
-  const firstAttempts = sumOf(recent, s => s.firstAttempts);
-  const retries = sumOf(recent, s => s.retries);
-  const floor = budget.retryFloorPerS * RETRY_WINDOW_S;
+  const {firstAttempts, retries} = countsInWindow(state, budget, nowMs);
+  const floor = (budget.retryFloorPerS * budget.windowMs) / MS_PER_S;
   const allowed = retries + 1 <= budget.retryRatio * firstAttempts + floor;
-  const next = allowed ? addCounts(recent, now, 0, 1) : recent;
+  const next = allowed ? addCounts(state, budget, nowMs, 0, 1) : state;
   return {state: next, allowed, firstAttempts, retries};
 }
 
-function sumOf(state: RetryState, of: (s: SecondCounts) => number): number {
-  return state.seconds.reduce((sum, s) => sum + of(s), 0);
+/**
+ * The oldest slot lies only partly within the window. Its retries count and its
+ * first attempts do not, so that the budget holds for every window.
+ */
+function countsInWindow(
+  {slots}: RetryState,
+  {windowMs}: RetryBudget,
+  nowMs: number,
+): Pick<SlotCounts, 'firstAttempts' | 'retries'> {
+  const oldest = slotOf(nowMs, windowMs) - SLOTS_PER_WINDOW;
+  let firstAttempts = 0;
+  let retries = 0;
+  for (const counts of slots) {
+    if (counts.slot >= oldest) retries += counts.retries;
+    if (counts.slot > oldest) firstAttempts += counts.firstAttempts;
+  }
+  return {firstAttempts, retries};
 }
 
 function addCounts(
   state: RetryState,
-  now: Date,
+  {windowMs}: RetryBudget,
+  nowMs: number,
   firstAttempts: number,
   retries: number,
 ): RetryState {
-  const second = Math.floor(now.getTime() / MS_PER_S);
-  const kept = state.seconds.filter(s => s.second > second - RETRY_WINDOW_S);
+  const slot = slotOf(nowMs, windowMs);
+  const kept = state.slots.filter(s => s.slot >= slot - SLOTS_PER_WINDOW);
   const last = kept.at(-1);
-  // If the wall clock was set back, attempts count towards the newest second.
-  if (last && last.second >= second) {
-    const sum = {
-      second: last.second,
-      firstAttempts: last.firstAttempts + firstAttempts,
-      retries: last.retries + retries,
-    };
-    return {seconds: [...kept.slice(0, -1), sum]};
+  if (last?.slot !== slot) {
+    return {slots: [...kept, {slot, firstAttempts, retries}]};
   }
-  return {seconds: [...kept, {second, firstAttempts, retries}]};
+  const sum = {
+    slot,
+    firstAttempts: last.firstAttempts + firstAttempts,
+    retries: last.retries + retries,
+  };
+  return {slots: [...kept.slice(0, -1), sum]};
+}
+
+function slotOf(nowMs: number, windowMs: number): number {
+  return Math.floor((nowMs * SLOTS_PER_WINDOW) / windowMs);
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -81,7 +81,12 @@
   const store = createStoreClient(deployment.store, jsonClient);
   const registry = new MetricsRegistry();
   const dispatcher = new RequestDispatcher(
-    {zone, retryRatio: bounds.retryRatio, retrySlack: bounds.retrySlack},
+    {
+      zone,
+      retryRatio: bounds.retryRatio,
+      retrySlack: bounds.retrySlack,
+      retryWindowMs: bounds.retryWindowMs,
+    },
     clock,
     log,
     ({incoming: {metadata: call, route, account, arrivedMs}}, ended) => {
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -120,6 +120,7 @@
         failClosed: true,
         retryRatio: 0.2,
         retrySlack: 1_000,
+        retryWindowMs: 10_000,
       },
     };
     entry = wirePlatformEntry(deployment);
--- a/test/retrybudget.test.ts
+++ b/test/retrybudget.test.ts
@@ -70,6 +70,7 @@
         zone: 'z',
         retryRatio: RETRY_RATIO,
         retrySlack: RETRY_SLACK,
+        retryWindowMs: WINDOW_MS,
       },
       this.clock,
       () => undefined,
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -22,9 +22,9 @@
 const at = (ms: number) => new Date(ms);
 
 describe('retry budget', () => {
-  const budget = {retryRatio: 0.1, retryFloorPerS: 1};
+  const budget = {retryRatio: 0.1, retryFloorPerS: 1, windowMs: 10_000};
 
-  it('keeps retries within the ratio plus the floor, at any rate', () => {
+  it('keeps retries within the ratio plus the floor, in every window', () => {
     const steps = fc.array(fc.tuple(fc.nat(300), fc.boolean()), {
       maxLength: 400,
     });
@@ -37,17 +37,16 @@
         for (const [waitMs, isFirst] of list) {
           now += waitMs;
           if (isFirst) {
-            state = countFirstAttempt(state, at(now));
+            state = countFirstAttempt(state, budget, now);
             firsts.push(now);
             continue;
           }
-          const taken = takeRetry(state, budget, at(now));
+          const taken = takeRetry(state, budget, now);
           state = taken.state;
           if (!taken.allowed) continue;
           retries.push(now);
-          const second = (t: number) => Math.floor(t / 1e3);
           const recent = (times: number[]) =>
-            times.filter(t => second(t) > second(now) - 10).length;
+            times.filter(t => t > now - 10_000).length;
           const limit = 0.1 * recent(firsts) + 10;
           expect(recent(retries)).to.be.at.most(limit);
         }
@@ -58,15 +57,17 @@
 
   it('refuses retries once the budget is used up', () => {
     let state = emptyRetryState;
-    for (let i = 0; i < 100; i++) state = countFirstAttempt(state, at(5_000));
+    for (let i = 0; i < 100; i++) {
+      state = countFirstAttempt(state, budget, 5_000);
+    }
     let allowed = 0;
     for (let i = 0; i < 100; i++) {
-      const taken = takeRetry(state, budget, at(5_000));
+      const taken = takeRetry(state, budget, 5_000);
       state = taken.state;
       if (taken.allowed) allowed += 1;
     }
     expect(allowed).to.equal(20);
-    expect(takeRetry(state, budget, at(16_000)).allowed).to.equal(true);
+    expect(takeRetry(state, budget, 16_000).allowed).to.equal(true);
   });
 });
 
