--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -52,8 +52,6 @@
   readonly zone: string;
   /** Retries allowed per first attempt. */
   readonly retryRatio: number;
-  /** Retries per window beyond the ratio, for all gateways together. */
-  readonly retrySlack: number;
   /** Length of the window over which retries are counted. */
   readonly retryWindowMs: number;
 }
@@ -67,14 +65,9 @@
 /** Largest random share added to a Retry-After, to spread out the retries. */
 const RETRY_AFTER_JITTER = 0.5;
 
-/** Number of gateways assumed to share the limits before a report gives it. */
+/** Number of gateways assumed to share limits before a report gives it. */
 const DEFAULT_GATEWAYS = 12;
 
-/** Allotted share of the slack; the rest is for gateways not counted yet. */
-const ALLOTTED_SHARE = 0.8;
-
-const MS_PER_S = 1_000;
-
 export class RequestDispatcher implements Dispatcher {
   private catalog: Catalog = emptyCatalog;
   private loads: Loads = emptyLoads;
@@ -233,7 +226,6 @@
       allowed: taken.allowed,
       firstAttempts: taken.firstAttempts,
       retries: taken.retries,
-      gateways: this.gateways,
     });
     return taken.allowed;
   }
@@ -346,13 +338,8 @@
   }
 
   private retryBudget(): RetryBudget {
-    const {retryRatio, retrySlack, retryWindowMs: windowMs} = this.settings;
-    const slack = (retrySlack * ALLOTTED_SHARE) / this.gateways;
-    return {
-      retryRatio,
-      retryFloorPerS: (slack / windowMs) * MS_PER_S,
-      windowMs,
-    };
+    const {retryRatio, retryWindowMs: windowMs} = this.settings;
+    return {retryRatio, retryFloorPerS: 0, windowMs};
   }
 }
 
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -2,8 +2,14 @@
  * The retry budget of an entry.
  *
  * Retries are limited to a fraction of the first attempts within a sliding
- * window, plus a small floor. Otherwise the retries of a failing endpoint's
- * requests would multiply the load on the remaining endpoints.
+ * window. Otherwise the retries of a failing endpoint's requests would multiply
+ * the load on the remaining endpoints.
+ *
+ * Retries are earned by the entry's own first attempts, so the budgets of all
+ * entries add up to the same fraction of all first attempts, however many
+ * entries there are, whether they hear each other and however often they
+ * restart. An entry with few requests may keep one earned retry for longer than
+ * the window.
  */
 
 /** Attempts within one slot of the window. */
@@ -13,14 +19,17 @@
   readonly retries: number;
 }
 
-/** Attempts within the window, slot by slot, oldest first. */
 export interface RetryState {
+  /** Attempts within the window, oldest first. */
   readonly slots: readonly SlotCounts[];
+  /** First attempts since the last retry or, before it, since the start. */
+  readonly firstAttemptsSinceRetry: number;
 }
 
 export interface RetryBudget {
   /** Retries allowed for each first attempt. */
   readonly retryRatio: number;
+  /** Retries per second that each entry may send beyond the ratio. */
   readonly retryFloorPerS: number;
   /** Length of the window over which attempts are counted. */
   readonly windowMs: number;
@@ -39,7 +48,10 @@
 const SLOTS_PER_WINDOW = 20;
 const MS_PER_S = 1_000;
 
-export const emptyRetryState: RetryState = {slots: []};
+export const emptyRetryState: RetryState = {
+  slots: [],
+  firstAttemptsSinceRetry: 0,
+};
 
 /** Counts a first attempt; `nowMs` is monotonic. */
 export function countFirstAttempt(
@@ -61,7 +73,9 @@
 ): RetryDecision {
   const {firstAttempts, retries} = countsInWindow(state, budget, nowMs);
   const floor = (budget.retryFloorPerS * budget.windowMs) / MS_PER_S;
-  const allowed = retries + 1 <= budget.retryRatio * firstAttempts + floor;
+  const withinRatio = retries + 1 <= budget.retryRatio * firstAttempts + floor;
+  const earnedEarlier = budget.retryRatio * state.firstAttemptsSinceRetry;
+  const allowed = withinRatio || (retries === 0 && earnedEarlier >= 1);
   const next = allowed ? addCounts(state, budget, nowMs, 0, 1) : state;
   return {state: next, allowed, firstAttempts, retries};
 }
@@ -93,17 +107,18 @@
   retries: number,
 ): RetryState {
   const slot = slotOf(nowMs, windowMs);
-  const kept = state.slots.filter(s => s.slot >= slot - SLOTS_PER_WINDOW);
-  const last = kept.at(-1);
-  if (last?.slot !== slot) {
-    return {slots: [...kept, {slot, firstAttempts, retries}]};
-  }
+  const earlier = state.slots.filter(
+    s => s.slot >= slot - SLOTS_PER_WINDOW && s.slot < slot,
+  );
+  const current = state.slots.find(s => s.slot === slot);
   const sum = {
     slot,
-    firstAttempts: last.firstAttempts + firstAttempts,
-    retries: last.retries + retries,
+    firstAttempts: (current?.firstAttempts ?? 0) + firstAttempts,
+    retries: (current?.retries ?? 0) + retries,
   };
-  return {slots: [...kept.slice(0, -1), sum]};
+  const firstAttemptsSinceRetry =
+    retries > 0 ? 0 : state.firstAttemptsSinceRetry + firstAttempts;
+  return {slots: [...earlier, sum], firstAttemptsSinceRetry};
 }
 
 function slotOf(nowMs: number, windowMs: number): number {
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -84,7 +84,6 @@
     {
       zone,
       retryRatio: bounds.retryRatio,
-      retrySlack: bounds.retrySlack,
       retryWindowMs: bounds.retryWindowMs,
     },
     clock,
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -118,8 +118,8 @@
         graceMs: 4_000,
         revokeMs: 2_900,
         failClosed: true,
-        retryRatio: 0.2,
-        retrySlack: 1_000,
+        // The budget is tested in retrybudget.test.ts.
+        retryRatio: 4,
         retryWindowMs: 10_000,
       },
     };
--- a/test/retrybudget.test.ts
+++ b/test/retrybudget.test.ts
@@ -69,7 +69,6 @@
       {
         zone: 'z',
         retryRatio: RETRY_RATIO,
-        retrySlack: RETRY_SLACK,
         retryWindowMs: WINDOW_MS,
       },
       this.clock,
