--- /dev/null
+++ b/test/deploymentmodel.ts
@@ -0,0 +1,190 @@
+/**
+ * Model of a deployment: gateways that share endpoints, callers that send
+ * requests to them, and sidecars that report the endpoints' loads.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {VirtualClock} from '../bench/support/virtualclock';
+import {RequestDispatcher} from '../src/gateway/dispatcher';
+import {Exchange} from '../src/gateway/exchange';
+import {Endpoint, EndpointLoad, Route} from '../src/gateway/model';
+
+export const RETRY_RATIO = 0.2;
+export const RETRY_WINDOW_MS = 10_000;
+
+const REPORT_INTERVAL_MS = 250;
+const MAX_ATTEMPTS = 4;
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'desk.example',
+  prefix: '/',
+  kind: 'stream',
+  timeoutMs: 8_000,
+  targetLatencyMs: 400,
+  targetGapMs: 120,
+  priority: 1,
+  split: [{service: 's', weight: 1}],
+  maxAttempts: 2,
+  public: true,
+  resumable: true,
+};
+
+/** How an endpoint treats a request. */
+export interface Treatment {
+  /** Time after which the attempt ends. */
+  readonly ms: number;
+  /**
+   * `failed`: the request may be sent again. `unanswered`: its caller has left
+   * without a byte of an answer.
+   */
+  readonly outcome: 'answered' | 'failed' | 'unanswered';
+}
+
+export interface ModelSettings {
+  readonly seed: number;
+  readonly gateways: number;
+  readonly endpoints: readonly string[];
+  readonly slots: number;
+  /** Mean time between two requests at one gateway. */
+  readonly requestIntervalMs: number;
+  readonly treat: (endpoint: string, nowMs: number) => Treatment;
+  /** Load that the endpoint's sidecar reports; undefined if it is silent. */
+  readonly report: (
+    endpoint: string,
+    nowMs: number,
+    running: number,
+  ) => Pick<EndpointLoad, 'running'> | undefined;
+  /** Number of gateways that the reports to a gateway state. */
+  readonly reportedGateways: (gateway: number, nowMs: number) => number;
+}
+
+export interface Arrival {
+  readonly endpoint: string;
+  readonly ms: number;
+  readonly isRetry: boolean;
+}
+
+export class DeploymentModel {
+  readonly clock = new VirtualClock();
+  /** Times at which callers sent requests. */
+  readonly requestsMs: number[] = [];
+  /** Requests that reached an endpoint. */
+  readonly arrivals: Arrival[] = [];
+  private readonly running = new Map<string, number>();
+  private readonly gateways: RequestDispatcher[] = [];
+  private readonly random: () => number;
+
+  constructor(private readonly settings: ModelSettings) {
+    const generator = xoroshiro128plus(settings.seed);
+    this.random = () => uniformFloat64(generator);
+    for (let i = 0; i < settings.gateways; i++) {
+      this.restart(i);
+      this.scheduleRequest(i);
+    }
+    this.clock.after(0, () => this.report());
+  }
+
+  /** Replaces a gateway by a new process. */
+  restart(gateway: number): void {
+    const dispatcher = new RequestDispatcher(
+      {zone: 'z', retryRatio: RETRY_RATIO, retryWindowMs: RETRY_WINDOW_MS},
+      this.clock,
+      () => undefined,
+      () => undefined,
+      () => undefined,
+    );
+    const {endpoints, slots} = this.settings;
+    const registered = endpoints.map((id, i): [string, Endpoint] => [
+      id,
+      {
+        id,
+        service: 's',
+        address: `10.0.0.${i}:80`,
+        zone: 'z',
+        slots,
+        draining: false,
+        coldMs: 0,
+      },
+    ]);
+    dispatcher.handleEndpointChange(new Map(registered), true);
+    this.gateways[gateway] = dispatcher;
+  }
+
+  async runUntil(endMs: number): Promise<void> {
+    await this.clock.run(endMs);
+  }
+
+  private report(): void {
+    const {endpoints, report, reportedGateways} = this.settings;
+    const nowMs = this.clock.elapsedMs();
+    for (const id of endpoints) {
+      const load = report(id, nowMs, this.running.get(id) ?? 0);
+      if (!load) continue;
+      const whole = {id, queued: 0, group: 'g', open: true, pace: 1, ...load};
+      this.gateways.forEach((dispatcher, i) =>
+        dispatcher.handleLoadReport(whole, reportedGateways(i, nowMs)),
+      );
+    }
+    this.clock.after(REPORT_INTERVAL_MS, () => this.report());
+  }
+
+  private scheduleRequest(gateway: number): void {
+    const ms = 2 * this.settings.requestIntervalMs * this.random();
+    this.clock.after(ms, () => {
+      this.submit(this.gateways[gateway]!);
+      this.scheduleRequest(gateway);
+    });
+  }
+
+  private submit(dispatcher: RequestDispatcher): void {
+    const arrivedMs = this.clock.elapsedMs();
+    this.requestsMs.push(arrivedMs);
+    const finish = () => {
+      exchange.hasEnded = true;
+      const result = {outcome: '', status: 0, tries: []};
+      dispatcher.finishExchange(exchange as unknown as Exchange, result);
+    };
+    const exchange = {
+      incoming: {
+        service: 's',
+        route: ROUTE,
+        account: undefined,
+        arrivedMs,
+        metadata: {requestId: ''},
+      },
+      deadlineMs: arrivedMs + ROUTE.timeoutMs,
+      triedEndpoints: new Set<string>(),
+      hasEnded: false,
+      refuse: finish,
+      send: ({id}: Endpoint) => {
+        const isRetry = exchange.triedEndpoints.size > 0;
+        exchange.triedEndpoints.add(id);
+        const nowMs = this.clock.elapsedMs();
+        this.arrivals.push({endpoint: id, ms: nowMs, isRetry});
+        this.countRunning(id, 1);
+        const {ms, outcome} = this.settings.treat(id, nowMs);
+        this.clock.after(ms, () => {
+          this.countRunning(id, -1);
+          dispatcher.releaseEndpoint(id, RESULTS[outcome]);
+          const sent = exchange as unknown as Exchange;
+          const isRetried =
+            outcome === 'failed' &&
+            exchange.triedEndpoints.size < MAX_ATTEMPTS &&
+            dispatcher.takeRetry(sent);
+          if (isRetried) dispatcher.place(sent);
+          else finish();
+        });
+      },
+    };
+    dispatcher.submit(exchange as unknown as Exchange);
+  }
+
+  private countRunning(endpoint: string, change: number): void {
+    const running = (this.running.get(endpoint) ?? 0) + change;
+    this.running.set(endpoint, running);
+  }
+}
+
+/** What a gateway learns about an endpoint from an attempt. */
+const RESULTS = {answered: true, failed: true, unanswered: true} as const;
