--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -9,10 +9,21 @@
  * spread over the ranks also keeps the passes short. Requests on a slow rank
  * slow down the whole group, so it gets new ones only if no other endpoint has
  * room.
+ *
+ * An endpoint whose reports have stopped may be on a machine that has stopped.
+ * It cannot see that callers leave, and to a gateway that only counts its own
+ * requests it seems to be free as soon as they do. It gets requests only if no
+ * reporting endpoint is left.
  */
 import {Avoidance, isAvoided} from './avoidance';
 import {Registration} from './catalog';
-import {estimatedRequests, isGroupOpen, isSlow, Loads} from './endpointload';
+import {
+  estimatedRequests,
+  isGroupOpen,
+  isSilent,
+  isSlow,
+  Loads,
+} from './endpointload';
 
 export interface ChoiceContext {
   readonly loads: Loads;
@@ -51,9 +62,12 @@
   const open = serving.filter(e => isGroupOpen(loads, e.id, nowMs));
   if (open.length === 0) return {kind: 'none'};
   const untried = open.filter(e => !tried.has(e.id));
-  const notAvoided = untried.filter(e => !isAvoided(avoidance, e.id, nowMs));
+  const reporting = withoutSilent(untried, serving, context);
+  const notAvoided = reporting.filter(e => !isAvoided(avoidance, e.id, nowMs));
   // If all are avoided, the fault is more likely on the gateway's side.
-  const usable = [notAvoided, untried, open].find(list => list.length > 0)!;
+  const usable = [notAvoided, reporting, untried, open].find(
+    list => list.length > 0,
+  )!;
   const available = usable.filter(
     e =>
       estimatedRequests(loads, e.id, nowMs) <
@@ -68,6 +82,17 @@
   return {kind: 'endpoint', endpoint};
 }
 
+/** If most endpoints are silent, the reports are at fault and not they. */
+function withoutSilent(
+  endpoints: readonly Registration[],
+  serving: readonly Registration[],
+  {loads, nowMs}: ChoiceContext,
+): readonly Registration[] {
+  const silent = (e: Registration) => isSilent(loads, e.id, nowMs);
+  if (serving.filter(silent).length > serving.length / 2) return endpoints;
+  return endpoints.filter(e => !silent(e));
+}
+
 function leastLoaded(
   endpoints: readonly Registration[],
   {loads, nowMs, zone, random}: ChoiceContext,
--- a/test/retrybudget.test.ts
+++ b/test/retrybudget.test.ts
@@ -39,7 +39,10 @@
 }
 
 /** Largest number of retries in a window beyond what is allowed in it. */
-function worstExcess({requestsMs, arrivals}: DeploymentModel): number {
+function worstExcess(
+  {requestsMs, arrivals}: DeploymentModel,
+  slack = RETRY_SLACK,
+): number {
   const retriesMs = arrivals.filter(a => a.isRetry).map(a => a.ms);
   const countIn = (times: readonly number[], endMs: number) =>
     times.filter(t => t > endMs - RETRY_WINDOW_MS && t <= endMs).length;
@@ -50,7 +53,7 @@
         countIn(requestsMs, endMs - earlierMs),
       ),
     );
-    const allowed = RETRY_RATIO * requests + RETRY_SLACK;
+    const allowed = RETRY_RATIO * requests + slack;
     worst = Math.max(worst, countIn(retriesMs, endMs) - allowed);
   }
   return worst;
@@ -98,7 +101,8 @@
       report: (_, nowMs) => ({running: isFull(nowMs) ? SLOTS + 1 : 0}),
     });
     await model.runUntil(24_000);
-    expect(worstExcess(model)).to.be.at.most(0);
+    // Entries do not know each other's retries, so none may count on the slack.
+    expect(worstExcess(model, 0)).to.be.at.most(0);
   });
 
   it('leaves retries to gateways that get few requests', async () => {
