--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -84,6 +84,8 @@
   constructor(
     private readonly settings: DispatcherSettings,
     private readonly clock: Clock,
+    /** A number from 0 (inclusive) to 1 (exclusive). */
+    private readonly random: () => number,
     private readonly log: Log,
     private readonly onEnd: (
       exchange: Exchange,
@@ -251,7 +253,7 @@
       avoidance: this.avoidance,
       zone: this.settings.zone,
       nowMs,
-      random: Math.random,
+      random: this.random,
       withinColdRate: endpoint => this.withinColdRate(endpoint, nowMs),
     });
   }
@@ -311,7 +313,7 @@
     );
     this.queues.set(service, queue);
     for (const {request} of expired) {
-      request.refuse('overload', addJitter(OVERLOAD_RETRY_AFTER_MS));
+      request.refuse('overload', this.addJitter(OVERLOAD_RETRY_AFTER_MS));
     }
     for (;;) {
       const next = nextRequest(this.queueOf(service));
@@ -334,7 +336,11 @@
 
   private refuseForNoEndpoint(exchange: Exchange): void {
     const leftMs = exchange.deadlineMs - this.clock.elapsedMs();
-    exchange.refuse('no endpoint', retryDelayMs(leftMs, Math.random));
+    exchange.refuse('no endpoint', retryDelayMs(leftMs, this.random));
+  }
+
+  private addJitter(ms: number): number {
+    return ms * (1 + RETRY_AFTER_JITTER * this.random());
   }
 
   private retryBudget(): RetryBudget {
@@ -342,7 +348,3 @@
     return {retryRatio, retryFloorPerS: 0, windowMs};
   }
 }
-
-function addJitter(ms: number): number {
-  return ms * (1 + RETRY_AFTER_JITTER * Math.random());
-}
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -87,6 +87,7 @@
       retryWindowMs: bounds.retryWindowMs,
     },
     clock,
+    Math.random,
     log,
     ({incoming: {metadata: call, route, account, arrivedMs}}, ended) => {
       const ms = Math.round(clock.elapsedMs() - arrivedMs);
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -90,6 +90,7 @@
     const dispatcher = new RequestDispatcher(
       {zone: 'z', retryRatio: RETRY_RATIO, retryWindowMs: RETRY_WINDOW_MS},
       this.clock,
+      this.random,
       () => undefined,
       () => undefined,
       () => undefined,
