--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -26,7 +26,12 @@
 } from './catalog';
 import {Choice, chooseEndpoint} from './endpointchoice';
 import {emptyColdSends, isWithinColdRate, recordColdSend} from './coldrate';
-import {Dispatcher, Exchange, ExchangeResult} from './exchange';
+import {
+  Dispatcher,
+  EndpointEvidence,
+  Exchange,
+  ExchangeResult,
+} from './exchange';
 import {
   applyReport,
   countFinished,
@@ -196,12 +201,14 @@
     this.scheduleServe();
   }
 
-  releaseEndpoint(endpoint: string, answered: boolean): void {
+  releaseEndpoint(endpoint: string, evidence: EndpointEvidence): void {
     this.loads = countFinished(this.loads, endpoint);
     const nowMs = this.clock.elapsedMs();
-    this.avoidance = answered
-      ? clearFailures(this.avoidance, endpoint)
-      : recordFailure(this.avoidance, endpoint, nowMs);
+    if (evidence === 'works') {
+      this.avoidance = clearFailures(this.avoidance, endpoint);
+    } else if (evidence === 'fails') {
+      this.avoidance = recordFailure(this.avoidance, endpoint, nowMs);
+    }
     this.serveIfWaiting();
   }
 
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -91,13 +91,22 @@
   return !newest || newest.open || nowMs - newest.reportedMs > REPORT_VALID_MS;
 }
 
+export function hasFreshReport(
+  loads: Loads,
+  id: string,
+  nowMs: number,
+): boolean {
+  const {reportedMs} = loads.get(id, UNKNOWN_LOAD);
+  return nowMs - reportedMs <= REPORT_VALID_MS;
+}
+
 /**
  * Whether its reports have stopped. An endpoint of a service without sidecars
  * has never reported and does not count as silent.
  */
 export function isSilent(loads: Loads, id: string, nowMs: number): boolean {
   const {reportedMs} = loads.get(id, UNKNOWN_LOAD);
-  return reportedMs !== -Infinity && nowMs - reportedMs > REPORT_VALID_MS;
+  return reportedMs !== -Infinity && !hasFreshReport(loads, id, nowMs);
 }
 
 /** Whether a fresh report says that it is slower than healthy endpoints. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -25,8 +25,8 @@
 export interface Dispatcher {
   /** Sends the request to an endpoint, queues it or refuses it. */
   place(exchange: Exchange): void;
-  /** Called when an attempt ends; `answered` is false if it broke. */
-  releaseEndpoint(endpoint: string, answered: boolean): void;
+  /** Called when an attempt ends. */
+  releaseEndpoint(endpoint: string, evidence: EndpointEvidence): void;
   /** Called when another process has the endpoint's address. */
   reportMisdirected(endpoint: string): void;
   /** Takes one retry from the budget; false if there is none left. */
@@ -34,6 +34,13 @@
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
 }
 
+/** What an attempt shows about its endpoint. */
+export type EndpointEvidence =
+  | 'works'
+  | 'fails'
+  /** It ended too early to show anything. */
+  | 'none';
+
 export interface IncomingRequest {
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
@@ -234,7 +241,7 @@
       return this.handleAttemptEnd('broken', 'ended within an event');
     }
     this.recordAttempt('answered');
-    this.releaseAttempt(true);
+    this.releaseAttempt('works');
     if (this.isStream) {
       if (!this.incoming.res.headersSent) this.writeAnswerHead();
       this.incoming.res.end();
@@ -257,7 +264,7 @@
     const deliverable = head.status < 500 && answer.signed;
     if (deliverable) {
       this.recordAttempt('answered');
-      this.releaseAttempt(true);
+      this.releaseAttempt('works');
       this.writeWholeAnswer();
       return this.finish('answered', head.status);
     }
@@ -267,7 +274,8 @@
   private handleAttemptEnd(outcome: AttemptOutcome, reason: string): void {
     if (this.over || !this.endpoint) return;
     this.recordAttempt(outcome, reason);
-    this.releaseAttempt(outcome === 'failed' || outcome === 'notRun');
+    const replied = outcome === 'failed' || outcome === 'notRun';
+    this.releaseAttempt(replied ? 'works' : 'fails');
     this.attempts = countAttempt(this.attempts, outcome);
     const leftMs = this.deadlineMs - this.deps.clock.elapsedMs();
     const conditions = {leftMs, withinBudget: true};
@@ -300,12 +308,12 @@
     this.tries.push({endpoint: this.endpoint.id, outcome, ms, reason});
   }
 
-  private releaseAttempt(answered: boolean): void {
+  private releaseAttempt(evidence: EndpointEvidence): void {
     const id = this.endpoint?.id;
     this.endpoint = undefined;
     this.attempt = undefined;
     this.attemptTimer?.cancel();
-    if (id !== undefined) this.dispatcher.releaseEndpoint(id, answered);
+    if (id !== undefined) this.dispatcher.releaseEndpoint(id, evidence);
   }
 
   private handleDeadline(): void {
@@ -326,7 +334,7 @@
     if (!this.attempt) return;
     this.attempt.abort();
     this.recordAttempt('aborted');
-    this.releaseAttempt(true);
+    this.releaseAttempt(this.head ? 'works' : 'none');
   }
 
   /** Closes the connection, so that a partial answer does not look complete. */
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -167,7 +167,7 @@
         const {ms, outcome} = this.settings.treat(id, nowMs);
         this.clock.after(ms, () => {
           this.countRunning(id, -1);
-          dispatcher.releaseEndpoint(id, RESULTS[outcome]);
+          dispatcher.releaseEndpoint(id, EVIDENCE[outcome]);
           const sent = exchange as unknown as Exchange;
           const isRetried =
             outcome === 'failed' &&
@@ -188,4 +188,8 @@
 }
 
 /** What a gateway learns about an endpoint from an attempt. */
-const RESULTS = {answered: true, failed: true, unanswered: true} as const;
+const EVIDENCE = {
+  answered: 'works',
+  failed: 'works',
+  unanswered: 'none',
+} as const;
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -395,6 +395,28 @@
     await waitUntil(() => arrivals()[0]!.closed, 'the attempt to end');
   });
 
+  it('goes on avoiding an endpoint when a caller leaves it unanswered', async () => {
+    first.handler = ({path}, res) => {
+      if (!path.includes('silent')) res.destroy();
+    };
+    let silent: net.Socket | undefined;
+    const leaving: Promise<unknown>[] = [];
+    while (first.receivedRequests.length === 0) {
+      const left = send('/look/silent', {onSocket: s => (silent = s)});
+      leaving.push(left.catch(() => undefined));
+      await new Promise(done => setTimeout(done, 20));
+    }
+    while (first.receivedRequests.length < 2) await send('/look/1');
+    silent!.destroy();
+    await waitUntil(
+      () => first.receivedRequests[0]!.closed,
+      'the attempt to end',
+    );
+    for (let i = 0; i < 8; i++) await send('/look/1');
+    expect(first.receivedRequests).to.have.length(2);
+    await Promise.all(leaving);
+  });
+
   it('stops using draining endpoints and zones out of service', async () => {
     register('i-1', first.address, {state: 'draining'});
     await waitUntil(async () => {
