--- a/src/gateway/eventsplitter.ts
+++ b/src/gateway/eventsplitter.ts
@@ -28,7 +28,12 @@
 
   /** Whether bytes of an incomplete event are held. */
   get hasPartialEvent(): boolean {
-    return this.partialEvent.length > 0;
+    return this.partialBytes > 0;
+  }
+
+  /** Number of bytes held of an incomplete event. */
+  get partialBytes(): number {
+    return this.partialEvent.length;
   }
 
   push(chunk: Buffer): CompleteEvents {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -84,6 +84,12 @@
  */
 const ATTEMPT_TIMEOUT_SHARE = 0.4;
 
+/**
+ * Limit on the bytes of an answer or event that are held until it is complete.
+ * An endpoint may send bytes without end.
+ */
+const MAX_HELD_ANSWER_BYTES = 1_048_576;
+
 /** Time kept for the return of the answer from the endpoint, in ms. */
 const RETURN_MARGIN_MS = 5;
 
@@ -99,6 +105,7 @@
   private head: AnswerHead | undefined;
   private answer: AnswerMetadata | undefined;
   private body: Buffer[] = [];
+  private bodyBytes = 0;
   private over = false;
   private readonly timers: Timer[] = [];
   private attemptTimer: Timer | undefined;
@@ -145,6 +152,7 @@
     this.head = undefined;
     this.answer = undefined;
     this.body = [];
+    this.bodyBytes = 0;
     this.splitter = new EventSplitter(this.splitter.lastEventId);
     const forwarded = headers.forwardedHeaders(req.rawHeaders, req.headers, {
       endpoint: endpoint.id,
@@ -209,8 +217,15 @@
   }
 
   private handleData(chunk: Buffer): void {
-    if (!this.relaysAnswer()) {
+    const relays = this.relaysAnswer();
+    const held = relays ? this.splitter.partialBytes : this.bodyBytes;
+    if (held + chunk.length > MAX_HELD_ANSWER_BYTES) {
+      this.attempt?.abort();
+      return this.handleAttemptEnd('broken', 'answer too large');
+    }
+    if (!relays) {
       this.body.push(chunk);
+      this.bodyBytes += chunk.length;
       return;
     }
     const {bytes} = this.splitter.push(chunk);
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -48,6 +48,9 @@
  */
 const CONNECT_TIMEOUT_MS = 250;
 
+/** Limit on answers with a 1xx status before the answer to the request. */
+const MAX_INTERIM_ANSWERS = 16;
+
 export function startAttempt(
   target: UpstreamRequest,
   handlers: AttemptHandlers,
@@ -56,6 +59,7 @@
   let settled = false;
   let connected = false;
   let wasReset = false;
+  let interimAnswers = 0;
   let response: http.IncomingMessage | undefined;
 
   const socket = net.connect({host, port: Number(port), noDelay: true});
@@ -93,6 +97,10 @@
     answer.on('close', () => fail('the connection closed'));
     handlers.head({status: statusCode, rawHeaders, headers});
   });
+  request.on('information', () => {
+    interimAnswers += 1;
+    if (interimAnswers > MAX_INTERIM_ANSWERS) fail('too many interim answers');
+  });
   request.on('close', () => fail('the connection closed'));
   request.end(target.body);
 
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -373,6 +373,55 @@
     expect(reply.body).to.equal('id: 1\ndata: x\n\n');
   });
 
+  // Guards against memory without a limit and callers left to their deadline.
+  const MAX_READ_BYTES = 16_777_216;
+  const MAX_ANSWER_MS = 1_200;
+  const sealed = (a: ReceivedRequest) => headWithoutLength(a);
+  const cases = [
+    {title: 'in a head', path: '/look/1', first: 'HTTP/1.1 200 OK\r\nX: '},
+    {title: 'in a line', path: '/look/1', first: ''},
+    {
+      title: 'in interim answers',
+      path: '/look/1',
+      first: '',
+      repeated: 'HTTP/1.1 102 Processing\r\n\r\n',
+    },
+    {title: 'in a body', path: '/look/1', first: sealed},
+    {title: 'in an event of a stream', path: '/draft/1', first: sealed},
+    {
+      title: 'in a failed answer to a stream',
+      path: '/draft/1',
+      first: 'HTTP/1.1 500 Failed\r\n\r\n',
+    },
+  ];
+  for (const {title, path, first: start, repeated = 'x'} of cases) {
+    it(`ends an attempt whose bytes never end: ${title}`, async () => {
+      const sockets: net.Socket[] = [];
+      const chunk = Buffer.from(repeated.repeat(65_536 / repeated.length));
+      const endless = (a: ReceivedRequest, res: http.ServerResponse) => {
+        const socket = res.socket!;
+        sockets.push(socket);
+        const write = () => {
+          while (!socket.destroyed && socket.write(chunk));
+        };
+        socket.on('drain', write);
+        socket.write(typeof start === 'string' ? start : start(a));
+        write();
+      };
+      [first.handler, second.handler] = [endless, endless];
+      const reply = await send(path, {body: 'x'});
+      expect(reply.status).to.equal(502);
+      expect(reply.ms).to.be.below(MAX_ANSWER_MS);
+      await waitUntil(
+        () => sockets.every(s => s.destroyed),
+        'the connections to be closed',
+      );
+      for (const {bytesWritten} of sockets) {
+        expect(bytesWritten).to.be.below(MAX_READ_BYTES);
+      }
+    });
+  }
+
   it('answers at the time limit of the route', async () => {
     const silent = () => undefined;
     [first.handler, second.handler] = [silent, silent];
