--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -71,7 +71,13 @@
 const RETRY_AFTER_JITTER = 0.5;
 
 /** Number of gateways assumed to share limits before a report gives it. */
-const DEFAULT_GATEWAYS = 12;
+const DEFAULT_GATEWAYS = 24;
+
+/**
+ * Time for which a higher reported number of gateways prevails. A sidecar that
+ * has just started or is cut off hears only some of them.
+ */
+const GATEWAYS_VALID_MS = 30_000;
 
 export class RequestDispatcher implements Dispatcher {
   private catalog: Catalog = emptyCatalog;
@@ -82,7 +88,9 @@
   /** Mean time for a complete answer, by service. */
   private readonly meanAnswerMs = new Map<string, number>();
   private coldSends = emptyColdSends;
-  private gateways = DEFAULT_GATEWAYS;
+  /** This gateway's place in the turns at each cold endpoint. */
+  private readonly coldPhases = new Map<string, number>();
+  private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
   private activeRequests = 0;
   private serveScheduled = false;
 
@@ -134,6 +142,8 @@
     this.catalog = applyEndpointChange(this.catalog, change, isFullRead, nowMs);
     this.loads = retainLoads(this.loads, this.catalog.endpoints);
     for (const [id, endpoint] of change) {
+      if (!endpoint) this.coldPhases.delete(id);
+      else if (endpoint.coldMs > 0) this.coldPhases.set(id, this.random());
       const state = endpoint
         ? endpoint.draining
           ? 'draining'
@@ -153,7 +163,12 @@
 
   handleLoadReport(report: EndpointLoad, gateways: number): void {
     const nowMs = this.clock.elapsedMs();
-    if (gateways > 0) this.gateways = gateways;
+    if (
+      gateways >= this.gateways.count ||
+      (gateways > 0 && nowMs > this.gateways.untilMs)
+    ) {
+      this.gateways = {count: gateways, untilMs: nowMs + GATEWAYS_VALID_MS};
+    }
     this.loads = applyReport(this.loads, report, nowMs);
     this.serveIfWaiting();
   }
@@ -281,15 +296,12 @@
   private withinColdRate(endpoint: Registration, nowMs: number): boolean {
     if (endpoint.coldUntilMs <= nowMs) return true;
     const service = this.catalog.services.get(endpoint.service);
-    const requestsPerS = service?.coldRequestsPerS ?? 0;
-    const {coldSends, gateways} = this;
-    return isWithinColdRate(
-      coldSends,
-      endpoint.id,
-      requestsPerS,
-      gateways,
-      nowMs,
-    );
+    const rate = {
+      requestsPerS: service?.coldRequestsPerS ?? 0,
+      gateways: this.gateways.count,
+      phase: this.coldPhases.get(endpoint.id) ?? 0,
+    };
+    return isWithinColdRate(this.coldSends, endpoint.id, rate, nowMs);
   }
 
   private queueOf(service: string): Queue<Exchange> {
