--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -87,7 +87,7 @@
   request.on('error', error => fail(error.message));
   request.on('response', response => {
     if (response.statusCode !== 200) {
-      response.resume();
+      response.destroy();
       fail(`status ${response.statusCode}`);
       return;
     }
--- a/src/sidecar/service.ts
+++ b/src/sidecar/service.ts
@@ -13,6 +13,8 @@
 
 /** Longest data of a frame. */
 const CHUNK_BYTES = 65_536;
+/** Limit on an answer, which is held until it is complete. */
+const MAX_ANSWER_BYTES = 16_777_216;
 const CALL_TIMEOUT_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 500;
 const HTTP_PORT = 80;
@@ -130,12 +132,23 @@
     ...(body.length > 0 ? {body: Buffer.from(body)} : {}),
     allowGetBody: true,
   };
-  got(`${url}${path}`, options).then(
+  let tooLarge = false;
+  const call = got(`${url}${path}`, options);
+  void call.on('downloadProgress', ({transferred}) => {
+    if (transferred <= MAX_ANSWER_BYTES) return;
+    tooLarge = true;
+    controller.abort();
+  });
+  call.then(
     response => {
       onEnd(response.statusCode === OVERLOADED_STATUS ? 'broke' : 'answered');
       sendAnswer(job, sink, response);
     },
     (error: RequestError) => {
+      if (tooLarge) {
+        onEnd('broke');
+        return sink.failed('unknown', 'service: answer too large');
+      }
       onEnd(controller.signal.aborted ? 'cancelled' : 'broke');
       const run = UNSENT_ERROR_CODES.has(error.code) ? 'not-run' : 'unknown';
       sink.failed(run, `service: ${error.code}`);
--- a/test/engine.test.ts
+++ b/test/engine.test.ts
@@ -1,12 +1,15 @@
 /**
- * Guards against engine answers that harm the sidecar: a line without an end,
- * which fills its memory, and lines that violate the protocol.
+ * Guards against endpoint answers that harm the sidecar: bytes without an end,
+ * which fill its memory, and lines that violate the protocol.
  */
 import http from 'node:http';
 import {AddressInfo} from 'node:net';
 import {expect} from 'chai';
-import {newFrame, Job} from '../src/sidecar/endpoint';
+import {waitUntil} from '../standins/binaryprocess';
+import {systemClock} from '../src/kernel/clock';
+import {Endpoint, newFrame, Job} from '../src/sidecar/endpoint';
 import {modelEngine} from '../src/sidecar/engine';
+import {plainService} from '../src/sidecar/service';
 import {Offer} from '../src/wire/messages';
 
 const CHUNK_WITHOUT_NEWLINE = Buffer.alloc(65_536, 'x');
@@ -41,8 +44,12 @@
 
 type WriteAnswer = (response: http.ServerResponse) => void;
 
-/** The failure that is reported when an engine answers with `write`. */
-async function failureOf(write: WriteAnswer): Promise<string> {
+/** The failure that is reported when an endpoint answers with `write`. */
+async function failureOf(
+  write: WriteAnswer,
+  endpointAt: (url: string) => Endpoint = modelEngine,
+  beforeClose: () => Promise<void> = async () => undefined,
+): Promise<string> {
   const server = http.createServer((request, response) => {
     request.resume();
     write(response);
@@ -50,31 +57,70 @@
   await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
   const {port} = server.address() as AddressInfo;
   try {
-    return await new Promise(resolve => {
-      modelEngine(`http://127.0.0.1:${port}`).run(job, {
+    const failure = await new Promise<string>(resolve => {
+      endpointAt(`http://127.0.0.1:${port}`).run(job, {
         frame: () => undefined,
         failed: (run, reason) => resolve(`${run}: ${reason}`),
       });
     });
+    await beforeClose();
+    return failure;
   } finally {
     server.closeAllConnections();
     server.close();
   }
 }
 
-describe('answers of an engine', () => {
-  it('without an end of line are given up before they fill the memory', async () => {
-    let sent = 0;
-    const failure = await failureOf(response => {
+/** Writes an answer without an end, but no more than about `maxBytes`. */
+function endlessAnswer(status: number, maxBytes: number) {
+  let sent = 0;
+  return {
+    sentBytes: () => sent,
+    write(response: http.ServerResponse) {
+      response.writeHead(status);
       const writeNextChunk = () => {
-        if (response.destroyed || sent > MAX_SENT_BYTES) return;
+        if (response.destroyed || sent > maxBytes) return;
         sent += CHUNK_WITHOUT_NEWLINE.length;
         response.write(CHUNK_WITHOUT_NEWLINE, writeNextChunk);
       };
       writeNextChunk();
-    });
+    },
+  };
+}
+
+describe('answers of a plain service', () => {
+  it('without an end are given up before they fill the memory', async () => {
+    const maxBytes = 8 * MAX_SENT_BYTES;
+    const endless = endlessAnswer(200, maxBytes);
+    const failure = await failureOf(endless.write, url =>
+      plainService(url, systemClock),
+    );
+    expect(failure).to.equal('unknown: service: answer too large');
+    expect(endless.sentBytes()).to.be.below(maxBytes);
+  });
+});
+
+describe('answers of an engine', () => {
+  it('without an end of line are given up before they fill the memory', async () => {
+    const endless = endlessAnswer(200, MAX_SENT_BYTES);
+    const failure = await failureOf(endless.write);
     expect(failure).to.match(/unknown: .*a line is too long/);
-    expect(sent).to.be.below(MAX_SENT_BYTES);
+    expect(endless.sentBytes()).to.be.below(MAX_SENT_BYTES);
+  });
+
+  it('with a failure status and no end are not read on', async () => {
+    const endless = endlessAnswer(500, MAX_SENT_BYTES);
+    let closed = false;
+    const failure = await failureOf(
+      response => {
+        response.on('close', () => (closed = true));
+        endless.write(response);
+      },
+      modelEngine,
+      () => waitUntil(() => closed, 'the connection to be closed', 5_000),
+    );
+    expect(failure).to.equal('unknown: engine: status 500');
+    expect(endless.sentBytes()).to.be.below(MAX_SENT_BYTES);
   });
 
   for (const text of ['x', 'null', '3', '{"o":0}', '{"o":0,"t":7}', '[]']) {
