--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -362,6 +362,7 @@
     return ms * (1 + RETRY_AFTER_JITTER * this.random());
   }
 
+  /** Has no floor, because floors add up with the number of gateways. */
   private retryBudget(): RetryBudget {
     const {retryRatio, retryWindowMs: windowMs} = this.settings;
     return {retryRatio, retryFloorPerS: 0, windowMs};
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -91,11 +91,7 @@
   return !newest || newest.open || nowMs - newest.reportedMs > REPORT_VALID_MS;
 }
 
-export function hasFreshReport(
-  loads: Loads,
-  id: string,
-  nowMs: number,
-): boolean {
+function hasFreshReport(loads: Loads, id: string, nowMs: number): boolean {
   const {reportedMs} = loads.get(id, UNKNOWN_LOAD);
   return nowMs - reportedMs <= REPORT_VALID_MS;
 }
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -41,6 +41,13 @@
   readonly outcome: 'answered' | 'failed' | 'unanswered';
 }
 
+/** What a gateway learns about an endpoint from an attempt. */
+const EVIDENCE = {
+  answered: 'works',
+  failed: 'works',
+  unanswered: 'none',
+} as const;
+
 export interface ModelSettings {
   readonly seed: number;
   readonly gateways: number;
@@ -186,10 +193,3 @@
     this.running.set(endpoint, running);
   }
 }
-
-/** What a gateway learns about an endpoint from an attempt. */
-const EVIDENCE = {
-  answered: 'works',
-  failed: 'works',
-  unanswered: 'none',
-} as const;
