--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -69,6 +69,17 @@
     expect(allowed).to.equal(20);
     expect(takeRetry(state, budget, 16_000).allowed).to.equal(true);
   });
+
+  it('does not forget retries before the window has passed', () => {
+    for (let startMs = 5_000; startMs < 6_000; startMs += 50) {
+      let state = emptyRetryState;
+      for (let i = 0; i < 10; i++) {
+        state = takeRetry(state, budget, startMs).state;
+      }
+      const laterMs = startMs + budget.windowMs - 1;
+      expect(takeRetry(state, budget, laterMs).allowed).to.equal(false);
+    }
+  });
 });
 
 describe('circuit breaker', () => {
