--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -78,6 +78,8 @@
   readonly requestsMs: number[] = [];
   /** Requests that reached an endpoint. */
   readonly arrivals: Arrival[] = [];
+  /** Requests that were still at an endpoint when their callers left. */
+  readonly abandoned: Arrival[] = [];
   private readonly running = new Map<string, number>();
   private readonly gateways: RequestDispatcher[] = [];
   private readonly random: () => number;
@@ -169,11 +171,13 @@
         const isRetry = exchange.triedEndpoints.size > 0;
         exchange.triedEndpoints.add(id);
         const nowMs = this.clock.elapsedMs();
-        this.arrivals.push({endpoint: id, ms: nowMs, isRetry});
+        const arrival = {endpoint: id, ms: nowMs, isRetry};
+        this.arrivals.push(arrival);
         this.countRunning(id, 1);
         const {ms, outcome} = this.settings.treat(id, nowMs);
         this.clock.after(ms, () => {
           this.countRunning(id, -1);
+          if (outcome === 'unanswered') this.abandoned.push(arrival);
           dispatcher.releaseEndpoint(id, EVIDENCE[outcome]);
           const sent = exchange as unknown as Exchange;
           const isRetried =
--- a/test/silentendpoint.test.ts
+++ b/test/silentendpoint.test.ts
@@ -54,6 +54,14 @@
     expect(shareOfStopped(model)).to.equal(0);
   });
 
+  it('has no requests left when their callers leave', async () => {
+    // Its reports stop long before callers abandon a stream, so there is time
+    // to send what may run again to another endpoint.
+    const model = overloadedDeployment({});
+    await model.runUntil(END_MS);
+    expect(model.abandoned).to.have.length(0);
+  });
+
   it('gets no more than its share when no endpoint reports', async () => {
     const model = overloadedDeployment({
       report: () => undefined,
