--- a/src/gateway/headercodec.ts
+++ b/src/gateway/headercodec.ts
@@ -16,6 +16,8 @@
   /** Id of the event after which a stream is resumed. */
   readonly lastEventId: string | undefined;
   readonly promptTokens: number | undefined;
+  /** Ids of the prompt's parts that other requests may share, in order. */
+  readonly sharedParts: readonly string[];
   /** Expected length of the answer, in tokens. */
   readonly answerTokens: number | undefined;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -111,6 +111,9 @@
         tries: ended.tries
           .map(t => `${t.endpoint}:${t.outcome}:${t.ms}:${t.reason ?? ''}`)
           .join(' '),
+        parts: ended.tries.some(t => t.outcome === 'broken')
+          ? call.sharedParts.join(',')
+          : undefined,
       });
     },
     (service, allowed) =>
