--- a/standins/endpoint.ts
+++ b/standins/endpoint.ts
@@ -66,14 +66,20 @@
 
   constructor(public handler: RequestHandler = answerWith('done')) {}
 
+  /** Listens on a free port or, after a stop, on the port that it had. */
   async start(): Promise<void> {
+    const earlierPort = Number(this.address.split(':')[1] ?? 0);
     await new Promise<void>(done =>
-      this.server.listen(0, '127.0.0.1', () => done()),
+      this.server.listen(earlierPort, '127.0.0.1', () => done()),
     );
     const {port} = this.server.address() as AddressInfo;
     this.address = `127.0.0.1:${port}`;
   }
 
+  get isRunning(): boolean {
+    return this.server.listening;
+  }
+
   stop(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -3,12 +3,13 @@
  * store, the operator, endpoints and callers.
  */
 import http from 'node:http';
-import net, {AddressInfo} from 'node:net';
+import net from 'node:net';
 import {expect} from 'chai';
 import {Deployment} from '../platform/settings';
 import {Program} from '../src/kernel/program';
 import {wirePlatformEntry} from '../src/wiring-platform';
 import {waitUntil} from '../standins/binaryprocess';
+import {freePort, Reply, sendAsCaller} from '../standins/caller';
 import {
   answerWith,
   ReceivedRequest,
@@ -53,14 +54,6 @@
   };
 }
 
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', () => done()));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(done => server.close(done));
-  return port;
-}
-
 /** Status line and headers of an answer without a Content-Length. */
 function headWithoutLength(arrival: ReceivedRequest): string {
   const headers = Object.entries(sealedHeaders(arrival))
@@ -69,15 +62,6 @@
   return `HTTP/1.1 200 OK\r\n${headers}\r\n`;
 }
 
-interface Reply {
-  readonly status: number;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: string;
-  /** Whether the answer arrived completely. */
-  readonly whole: boolean;
-  readonly ms: number;
-}
-
 describe('entry on the platform', () => {
   const store = new StoreStandin();
   const first = new EndpointStandin();
@@ -150,40 +134,19 @@
       readonly onSocket?: (socket: net.Socket) => void;
     } = {},
   ): Promise<Reply> {
-    const startMs = Date.now();
     requests += 1;
-    return new Promise((resolve, reject) => {
-      const request = http.request({
-        host: '127.0.0.1',
-        port,
-        method: options.body === undefined ? 'GET' : 'POST',
-        path,
-        agent: false,
-        headers: {
-          Host: HOST,
-          'Api-Key': options.key ?? KEY,
-          'Boragemill-Request-Id': `request-${requests}`,
-          'Boragemill-Deadline-Ms': '3000',
-          ...options.headers,
-        },
-      });
-      request.on('error', reject);
-      request.on('socket', socket => options.onSocket?.(socket));
-      request.on('response', response => {
-        let body = '';
-        const done = () =>
-          resolve({
-            status: response.statusCode ?? 0,
-            headers: response.headers,
-            body,
-            whole: response.complete,
-            ms: Date.now() - startMs,
-          });
-        response.on('data', chunk => (body += String(chunk)));
-        response.on('end', done);
-        response.on('error', done);
-      });
-      request.end(options.body);
+    return sendAsCaller({
+      entry: `127.0.0.1:${port}`,
+      path,
+      body: options.body,
+      onSocket: options.onSocket,
+      headers: {
+        Host: HOST,
+        'Api-Key': options.key ?? KEY,
+        'Boragemill-Request-Id': `request-${requests}`,
+        'Boragemill-Deadline-Ms': '3000',
+        ...options.headers,
+      },
     });
   }
 
