Quarantine prompt parts under which endpoints crash

Callers saw: requests with one part in their prompts crashed one endpoint after the other, and with each crash the endpoint's whole group stopped for some four seconds. Requests with that part were sent on and on (BUDGET).

Cause: no process related the end of an endpoint to the requests that were there (hypothesis P1). An entry took a lost connection as a fault of the endpoint, avoided it and sent the next such request to another one.

Change: an entry records the prompts of connections that broke together, once the end of the process is confirmed by the endpoint's sidecar or by another registration at its address. Entries share these records through a table of the store. A part is rejected after three crashes of which no answer on it has cleared it, or five if answers on it went on before. Among parts that come together the one is taken that was never cleared, then the one with the most crashes, then the later one in the prompt. After ten minutes one entry admits one request as a trial.

Before: promptcrash.test.ts failed, with 60 requests later than 3 s after the fifth crash.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -26,6 +26,7 @@
 } from './catalog';
 import {Choice, chooseEndpoint} from './endpointchoice';
 import {emptyColdSends, isWithinColdRate, recordColdSend} from './coldrate';
+import {CrashMonitor} from './crashmonitor';
 import {
   Dispatcher,
   EndpointEvidence,
@@ -37,10 +38,11 @@
   countFinished,
   countSent,
   emptyLoads,
+  isGroupOpen,
   Loads,
   retainLoads,
 } from './endpointload';
-import {EndpointLoad} from './model';
+import {EndpointLoad, Prompt} from './model';
 import {retryDelayMs, updateMeanMs, waitLimit} from './waitlimit';
 import {
   countPlaced,
@@ -91,7 +93,8 @@
   /** This gateway's place in the turns at each cold endpoint. */
   private readonly coldPhases = new Map<string, number>();
   private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
-  private activeRequests = 0;
+  /** Requests that have not ended. */
+  private readonly active = new Set<Exchange>();
   private serveScheduled = false;
 
   constructor(
@@ -105,6 +108,7 @@
       result: ExchangeResult,
     ) => void,
     private readonly onRetry: (service: string, allowed: boolean) => void,
+    private readonly crashes: CrashMonitor,
   ) {}
 
   currentCatalog(): Catalog {
@@ -113,7 +117,7 @@
 
   /** Requests that have not ended. */
   get inFlight(): number {
-    return this.activeRequests;
+    return this.active.size;
   }
 
   handleOperatorChange(
@@ -142,6 +146,7 @@
     this.catalog = applyEndpointChange(this.catalog, change, isFullRead, nowMs);
     this.loads = retainLoads(this.loads, this.catalog.endpoints);
     for (const [id, endpoint] of change) {
+      if (endpoint) this.crashes.handleRegistration(endpoint);
       if (!endpoint) this.coldPhases.delete(id);
       else if (endpoint.coldMs > 0) this.coldPhases.set(id, this.random());
       const state = endpoint
@@ -175,7 +180,7 @@
 
   /** Accepts a request that has just been read. */
   submit(exchange: Exchange): void {
-    this.activeRequests += 1;
+    this.active.add(exchange);
     const {service} = exchange.incoming;
     const retries = this.retries.get(service) ?? emptyRetryState;
     const nowMs = this.clock.elapsedMs();
@@ -185,7 +190,7 @@
   }
 
   place(exchange: Exchange): void {
-    if (exchange.hasEnded) return;
+    if (exchange.hasEnded || this.rejectIfQuarantined(exchange)) return;
     const {service, route, account, arrivedMs} = exchange.incoming;
     const queue = this.queueOf(service);
     const nowMs = this.clock.elapsedMs();
@@ -216,17 +221,56 @@
     this.scheduleServe();
   }
 
-  releaseEndpoint(endpoint: string, evidence: EndpointEvidence): void {
+  releaseEndpoint(
+    exchange: Exchange,
+    endpoint: string,
+    evidence: EndpointEvidence,
+  ): void {
     this.loads = countFinished(this.loads, endpoint);
     const nowMs = this.clock.elapsedMs();
     if (evidence === 'works') {
       this.avoidance = clearFailures(this.avoidance, endpoint);
-    } else if (evidence === 'fails') {
+    } else if (evidence === 'fails' || evidence === 'disconnected') {
       this.avoidance = recordFailure(this.avoidance, endpoint, nowMs);
     }
+    if (evidence === 'disconnected') this.recordDisconnect(exchange, endpoint);
     this.serveIfWaiting();
   }
 
+  /**
+   * The ranks of a stalled group break their connections too, and an endpoint
+   * that leaves may; neither shows that the endpoint crashed.
+   */
+  private recordDisconnect(exchange: Exchange, id: string): void {
+    const endpoint = this.catalog.endpoints.get(id);
+    if (!endpoint || endpoint.draining) return;
+    if (endpoint.goneSinceMs !== undefined) return;
+    if (!isGroupOpen(this.loads, id, this.clock.elapsedMs())) return;
+    this.crashes.recordDisconnect(endpoint, promptOf(exchange));
+  }
+
+  reportProgress(exchange: Exchange): void {
+    this.crashes.recordProgress(promptOf(exchange));
+  }
+
+  /** Rejects requests with quarantined parts that no answer has begun for. */
+  handleQuarantine(): void {
+    for (const exchange of [...this.active]) {
+      if (!exchange.hasAnswerBegun) this.rejectIfQuarantined(exchange);
+    }
+  }
+
+  private rejectIfQuarantined(exchange: Exchange): boolean {
+    const part = this.crashes.rejectedPart(promptOf(exchange));
+    if (part === undefined) return false;
+    this.log('info', 'request rejected for a quarantined prompt part', {
+      request: exchange.incoming.metadata.requestId,
+      part,
+    });
+    exchange.refuse('prompt part quarantined');
+    return true;
+  }
+
   reportMisdirected(endpoint: string): void {
     const nowMs = this.clock.elapsedMs();
     this.catalog = excludeReplacedEndpoint(this.catalog, endpoint, nowMs);
@@ -255,7 +299,7 @@
   }
 
   finishExchange(exchange: Exchange, result: ExchangeResult): void {
-    this.activeRequests -= 1;
+    this.active.delete(exchange);
     const {service} = exchange.incoming;
     this.queues.set(service, removeRequest(this.queueOf(service), exchange));
     const answered = result.tries.find(t => t.outcome === 'answered');
@@ -368,3 +412,8 @@
     return {retryRatio, retryFloorPerS: 0, windowMs};
   }
 }
+
+/** Services have different endpoints, so their parts are told apart. */
+function promptOf({incoming: {service, metadata}}: Exchange): Prompt {
+  return metadata.sharedParts.map(part => `${service}/${part}`);
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -26,7 +26,13 @@
   /** Sends the request to an endpoint, queues it or refuses it. */
   place(exchange: Exchange): void;
   /** Called when an attempt ends. */
-  releaseEndpoint(endpoint: string, evidence: EndpointEvidence): void;
+  releaseEndpoint(
+    exchange: Exchange,
+    endpoint: string,
+    evidence: EndpointEvidence,
+  ): void;
+  /** Called when an answer goes on after its first event, or is complete. */
+  reportProgress(exchange: Exchange): void;
   /** Called when another process has the endpoint's address. */
   reportMisdirected(endpoint: string): void;
   /** Takes one retry from the budget; false if there is none left. */
@@ -38,6 +44,8 @@
 export type EndpointEvidence =
   | 'works'
   | 'fails'
+  /** It fails: the connection ended before the answer was complete. */
+  | 'disconnected'
   /** It ended too early to show anything. */
   | 'none';
 
@@ -106,6 +114,8 @@
   private answer: AnswerMetadata | undefined;
   private body: Buffer[] = [];
   private bodyBytes = 0;
+  /** Events of the current attempt. */
+  private events = 0;
   private over = false;
   private readonly timers: Timer[] = [];
   private attemptTimer: Timer | undefined;
@@ -137,6 +147,11 @@
     return this.over;
   }
 
+  /** Whether an endpoint has begun to answer the current attempt. */
+  get hasAnswerBegun(): boolean {
+    return this.events > 0;
+  }
+
   private get isStream(): boolean {
     return this.incoming.route.kind === 'stream';
   }
@@ -153,6 +168,7 @@
     this.answer = undefined;
     this.body = [];
     this.bodyBytes = 0;
+    this.events = 0;
     this.splitter = new EventSplitter(this.splitter.lastEventId);
     const forwarded = headers.forwardedHeaders(req.rawHeaders, req.headers, {
       endpoint: endpoint.id,
@@ -176,17 +192,19 @@
         data: chunk => this.handleData(chunk),
         end: () => this.handleAnswerEnd(),
         broken: (sent, reason) =>
-          this.handleAttemptEnd(sent ? 'broken' : 'unsent', reason),
+          sent
+            ? this.handleAttemptEnd('broken', reason, 'disconnected')
+            : this.handleAttemptEnd('unsent', reason),
       },
     );
     if (route.kind === 'idempotent') this.startAttemptTimer();
   }
 
   /** Refuses the request, as not run if that is certain. */
-  refuse(reason: string, retryAfterMs: number): void {
+  refuse(reason: string, retryAfterMs?: number): void {
     if (this.over) return;
     if (this.incoming.res.headersSent) return this.breakOffAnswer(reason);
-    if (this.attempts.possibleRuns > 0)
+    if (this.attempts.possibleRuns > 0 || this.attempt)
       return this.answerWithFailure(UNKNOWN_OUTCOME_STATUS, reason);
     this.answerWithFailure(NOT_RUN_STATUS, reason, retryAfterMs);
   }
@@ -228,8 +246,10 @@
       this.bodyBytes += chunk.length;
       return;
     }
-    const {bytes} = this.splitter.push(chunk);
+    const {bytes, events} = this.splitter.push(chunk);
     if (bytes.length === 0) return;
+    this.events += events;
+    if (this.events > 1) this.dispatcher.reportProgress(this);
     const {res} = this.incoming;
     if (!res.headersSent) this.writeAnswerHead();
     if (!res.write(bytes)) this.attempt?.pause();
@@ -253,8 +273,13 @@
     if (!success) return this.handleFailureAnswer(head, answer);
     if (!answer.signed) return this.handleAttemptEnd('broken', 'not signed');
     if (this.splitter.hasPartialEvent) {
-      return this.handleAttemptEnd('broken', 'ended within an event');
+      return this.handleAttemptEnd(
+        'broken',
+        'ended within an event',
+        'disconnected',
+      );
     }
+    if (!this.isStream) this.dispatcher.reportProgress(this);
     this.recordAttempt('answered');
     this.releaseAttempt('works');
     if (this.isStream) {
@@ -286,11 +311,16 @@
     this.handleAttemptEnd('failed', `status ${head.status}`);
   }
 
-  private handleAttemptEnd(outcome: AttemptOutcome, reason: string): void {
+  private handleAttemptEnd(
+    outcome: AttemptOutcome,
+    reason: string,
+    evidence: EndpointEvidence = outcome === 'failed' || outcome === 'notRun'
+      ? 'works'
+      : 'fails',
+  ): void {
     if (this.over || !this.endpoint) return;
     this.recordAttempt(outcome, reason);
-    const replied = outcome === 'failed' || outcome === 'notRun';
-    this.releaseAttempt(replied ? 'works' : 'fails');
+    this.releaseAttempt(evidence);
     this.attempts = countAttempt(this.attempts, outcome);
     const leftMs = this.deadlineMs - this.deps.clock.elapsedMs();
     const conditions = {leftMs, withinBudget: true};
@@ -328,7 +358,7 @@
     this.endpoint = undefined;
     this.attempt = undefined;
     this.attemptTimer?.cancel();
-    if (id !== undefined) this.dispatcher.releaseEndpoint(id, evidence);
+    if (id !== undefined) this.dispatcher.releaseEndpoint(this, id, evidence);
   }
 
   private handleDeadline(): void {
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -4,7 +4,8 @@
  * Every two seconds a gateway subscribes to the sidecar of each endpoint. A
  * sidecar sends its endpoint's load to the current subscribers, together with
  * their number, by which they divide shared limits. Lost datagrams are not
- * resent; the next one replaces them.
+ * resent; the next one replaces them. A sidecar that finds no process at its
+ * endpoint's address tells the subscribers so a few times.
  */
 import dgram from 'node:dgram';
 import * as z from 'zod';
@@ -35,6 +36,7 @@
     pace: z.number().positive(),
     gateways: z.number().int().min(0),
   }),
+  z.object({kind: z.literal('gone'), address: z.string()}),
 ]);
 
 type Message = z.infer<typeof messageSchema>;
@@ -45,6 +47,8 @@
 const SUBSCRIPTION_TIMEOUT_MS = 7_000;
 /** Interval at which an unchanged load is sent again, in milliseconds. */
 const REPEAT_INTERVAL_MS = 500;
+/** Times that subscribers are told that an endpoint's process is gone. */
+const GONE_REPEATS = 3;
 
 export interface Peer {
   readonly host: string;
@@ -111,12 +115,15 @@
       /** Hosts on which sidecars may run. */
       readonly hosts: () => readonly string[];
       readonly handleReport: (report: LoadReport) => void;
+      /** No process listens at this endpoint's address. */
+      readonly handleProcessGone: (address: string) => void;
       readonly clock: Clock;
       readonly log: Log;
     },
   ) {
     this.datagrams = new DatagramSocket(body => {
       if (body.kind === 'load') this.deps.handleReport(body);
+      if (body.kind === 'gone') this.deps.handleProcessGone(body.address);
     }, deps.log);
   }
 
@@ -148,6 +155,7 @@
     Peer & {subscribedMs: number}
   >();
   private lastSent = {load: '', atMs: -Infinity};
+  private goneSent = 0;
 
   constructor(
     private readonly self: Peer,
@@ -170,6 +178,7 @@
   }
 
   publish(report: Omit<LoadReport, 'gateways'>): void {
+    this.goneSent = 0;
     const nowMs = this.clock.elapsedMs();
     const {running, queued, open, pace} = report;
     const load = `${running} ${queued} ${open} ${pace}`;
@@ -185,4 +194,13 @@
       this.datagrams.send({kind: 'load', ...report, gateways}, peer);
     }
   }
+
+  /** Tells the subscribers that no process listens at the address. */
+  publishProcessGone(address: string): void {
+    if (this.goneSent >= GONE_REPEATS) return;
+    this.goneSent += 1;
+    for (const peer of this.subscribers.values()) {
+      this.datagrams.send({kind: 'gone', address}, peer);
+    }
+  }
 }
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -105,8 +105,34 @@
   readonly draining: boolean;
   /** Time for which it stays cold after its registration is read. */
   readonly coldMs: number;
+  /** Unix time at which its process started, if the registration says so. */
+  readonly startedMs: number | undefined;
 }
 
+/** Shared parts of a request's prompt, in order. */
+export type Prompt = readonly string[];
+
+/**
+ * What gateways tell each other about crashes of endpoints through the store.
+ * Times are those of the store's clock.
+ */
+export type CrashRecord =
+  | {
+      readonly kind: 'crash';
+      /** Id of the endpoint's process. */
+      readonly endpoint: string;
+      readonly atMs: number;
+      /** Prompts of the requests that were there. */
+      readonly prompts: readonly Prompt[];
+    }
+  /** An answer on the part went on after its first event. */
+  | {readonly kind: 'cleared'; readonly part: string; readonly atMs: number}
+  /** One request with the quarantined part was admitted. */
+  | {readonly kind: 'trial'; readonly part: string; readonly atMs: number};
+
+/** Records by key; undefined if the record was deleted. */
+export type CrashChange = ReadonlyMap<string, CrashRecord | undefined>;
+
 /** A row of a watched table; `value` is undefined if the row was deleted. */
 export interface TableRow {
   readonly key: string;
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -3,16 +3,18 @@
  * is the only module that knows the adapter to the platform.
  */
 import http from 'node:http';
+import {createCrashStore} from '../platform/crashes';
 import {platformHeaders} from '../platform/headers';
 import {createEngineClient} from '../platform/engineclient';
 import {Deployment} from '../platform/settings';
 import {createStoreClient} from '../platform/store';
-import {endpointTable, operatorTable} from '../platform/tables';
+import {crashTable, endpointTable, operatorTable} from '../platform/tables';
 import {
   emptyCatalog,
   applyEndpointChange,
   applyOperatorChange,
 } from './gateway/catalog';
+import {CrashMonitor} from './gateway/crashmonitor';
 import {RequestDispatcher} from './gateway/dispatcher';
 import {Exchange} from './gateway/exchange';
 import {CallerServer} from './gateway/callerserver';
@@ -56,6 +58,11 @@
 const MIN_SKEW_TO_REBALANCE = 1.15;
 /** Longest wait of a poll of the endpoints' table, in milliseconds. */
 const ENDPOINT_POLL_WAIT_MS = 3_000;
+/**
+ * Longest wait of a poll of the crash table, in milliseconds. A poll whose
+ * connection has gone silent ends after it, and then missed crashes are read.
+ */
+const CRASH_POLL_WAIT_MS = 2_000;
 
 /**
  * Fraction of the revocation time after which keys are no longer accepted on a
@@ -78,9 +85,17 @@
   const {instance, zone, bounds, ip, peerPort} = deployment;
   const log = logFor('entry', {instance, zone});
   const jsonClient = new JsonClient();
-  const store = createStoreClient(deployment.store, jsonClient);
+  const store = createStoreClient(deployment.store, jsonClient, clock);
   const registry = new MetricsRegistry();
-  const dispatcher = new RequestDispatcher(
+  const crashMonitor = new CrashMonitor({
+    instance,
+    store: createCrashStore(store),
+    clock,
+    log,
+    random: Math.random,
+    handleQuarantine: () => dispatcher.handleQuarantine(),
+  });
+  const dispatcher: RequestDispatcher = new RequestDispatcher(
     {
       zone,
       retryRatio: bounds.retryRatio,
@@ -121,6 +136,7 @@
         service,
         allowed: String(allowed),
       }),
+    crashMonitor,
   );
   const loopDelay = new LoopDelayMonitor(clock, log, ms =>
     registry.recordDuration('boragemill_event_loop_delay_ms', ms),
@@ -170,6 +186,17 @@
     clock,
     log,
   );
+  const crashWatch = new TableWatch(
+    crashTable(store, log),
+    {
+      handleChange: (change, isFullRead) =>
+        crashMonitor.handleRecords(change, isFullRead),
+      handleNoChange: () => undefined,
+    },
+    CRASH_POLL_WAIT_MS,
+    clock,
+    log,
+  );
   const loadSubscriber = new LoadSubscriber({
     self: {host: ip, port: peerPort},
     hosts: () => modelEndpointHosts(dispatcher),
@@ -180,6 +207,7 @@
       if (found)
         dispatcher.handleLoadReport({...report, id: found.id}, report.gateways);
     },
+    handleProcessGone: address => crashMonitor.handleProcessGone(address),
     clock,
     log,
   });
@@ -195,6 +223,10 @@
     'boragemill_configuration_version',
     () => dispatcher.currentCatalog().configuration?.version ?? 0,
   );
+  registry.registerGauge(
+    'boragemill_quarantined_prompt_parts',
+    () => crashMonitor.quarantinedCount,
+  );
   registry.registerGauge('boragemill_configuration_age_ms', () =>
     Math.round(clock.elapsedMs() - dispatcher.currentCatalog().operatorAsOfMs),
   );
@@ -203,6 +235,7 @@
       loopDelay.start();
       void operatorWatch.run();
       void endpointWatch.run();
+      void crashWatch.run();
       await loadSubscriber.start();
       await listenForMetrics(metrics, deployment, log);
       if (deployment.readiness) await listenAt(readiness, deployment.readiness);
@@ -218,6 +251,7 @@
       }
       operatorWatch.stop();
       endpointWatch.stop();
+      crashWatch.stop();
       loadSubscriber.stop();
       loopDelay.stop();
       readiness.close();
@@ -245,7 +279,7 @@
   const {instance, zone, ip, peerPort, endpoint = '', service} = deployment;
   const log = logFor('sidecar', {instance, zone});
   const jsonClient = new JsonClient();
-  const store = createStoreClient(deployment.store, jsonClient);
+  const store = createStoreClient(deployment.store, jsonClient, clock);
   const agent = new RankAgent(
     createEngineClient(endpoint, jsonClient),
     clock,
@@ -348,8 +382,11 @@
             const load = {running, queued, group, open, pace};
             publisher.publish({address: endpoint, ...load});
           },
-          (error: unknown) =>
-            log('debug', 'load report failed', {reason: String(error)}),
+          (error: unknown) => {
+            log('debug', 'load report failed', {reason: String(error)});
+            if (isConnectionRefused(error))
+              publisher.publishProcessGone(endpoint);
+          },
         );
       });
       coordinator.start();
@@ -367,6 +404,10 @@
   };
 }
 
+function isConnectionRefused(error: unknown): boolean {
+  return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+}
+
 function createMetricsServer(registry: MetricsRegistry): http.Server {
   return http.createServer((req, res) => registry.handle(req, res));
 }
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -1,6 +1,7 @@
 /**
- * Stand-in for the platform's store. Tables share one version counter and are
- * read as a whole or by long poll for changes. Tests switch faults on.
+ * Stand-in for the platform's store. Tables share one version counter, are read
+ * as a whole or by long poll for changes, and are written by transactions.
+ * Tests switch faults on.
  */
 import http from 'node:http';
 import {AddressInfo} from 'node:net';
@@ -13,6 +14,12 @@
   readonly deleted?: boolean;
 }
 
+interface Transaction {
+  readonly 'expected-revision': readonly Row[];
+  readonly puts: readonly Row[];
+  readonly remove: readonly Row[];
+}
+
 /** Whether the store answers as usual, with 503, or not at all. */
 export type StoreMode = 'normal' | 'busy' | 'silent';
 
@@ -73,6 +80,7 @@
     const table = searchParams.get('table') ?? '';
     if (this.mode === 'busy') return this.answer(res, 503, {});
     if (pathname === '/boragemill/rows-get') return this.readTable(table, res);
+    if (pathname === '/boragemill/rows-tx') return this.transact(req, res);
     if (pathname === '/boragemill/rows-feed') {
       const after = Number(searchParams.get('after'));
       return this.longPoll(
@@ -85,6 +93,24 @@
     this.answer(res, 404, {});
   }
 
+  private transact(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const chunks: Buffer[] = [];
+    req.on('data', (chunk: Buffer) => chunks.push(chunk));
+    req.on('end', () => {
+      const body = JSON.parse(Buffer.concat(chunks).toString()) as Transaction;
+      const holds = body['expected-revision'].every(({table, key, ver}) => {
+        const row = this.rows.get(`${table}/${key}`);
+        return (row && !row.deleted ? row.ver : 0) === ver;
+      });
+      if (!holds) return this.answer(res, 412, {});
+      for (const {table, key, value} of body.puts) {
+        this.put(table, key, Buffer.from(value, 'base64').toString());
+      }
+      for (const {table, key} of body.remove) this.put(table, key, undefined);
+      this.answer(res, 200, {ver: this.version});
+    });
+  }
+
   private readTable(table: string, res: http.ServerResponse): void {
     const rows = [...this.rows.values()].filter(
       r => r.table === table && !r.deleted,
@@ -117,7 +143,10 @@
   }
 
   private answer(res: http.ServerResponse, status: number, body: object): void {
-    const text = JSON.stringify({...body, 'now-ms': 0});
+    const text = JSON.stringify({
+      ...body,
+      'now-ms': Math.round(performance.now()),
+    });
     res.writeHead(status, {'Content-Type': 'application/json'});
     res.end(text);
   }
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -5,6 +5,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {VirtualClock} from '../bench/support/virtualclock';
+import {CrashMonitor} from '../src/gateway/crashmonitor';
 import {RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
 import {Endpoint, EndpointLoad, Route} from '../src/gateway/model';
@@ -103,6 +104,18 @@
       () => undefined,
       () => undefined,
       () => undefined,
+      new CrashMonitor({
+        instance: `g${gateway}`,
+        store: {
+          nowMs: () => undefined,
+          write: () => Promise.resolve(),
+          create: () => Promise.resolve(false),
+        },
+        clock: this.clock,
+        log: () => undefined,
+        random: this.random,
+        handleQuarantine: () => undefined,
+      }),
     );
     const {endpoints, slots} = this.settings;
     const registered = endpoints.map((id, i): [string, Endpoint] => [
@@ -115,6 +128,7 @@
         slots,
         draining: false,
         coldMs: 0,
+        startedMs: undefined,
       },
     ]);
     dispatcher.handleEndpointChange(new Map(registered), true);
@@ -161,7 +175,7 @@
         route: ROUTE,
         account: undefined,
         arrivedMs,
-        metadata: {requestId: ''},
+        metadata: {requestId: '', sharedParts: []},
       },
       deadlineMs: arrivedMs + ROUTE.timeoutMs,
       triedEndpoints: new Set<string>(),
@@ -178,8 +192,8 @@
         this.clock.after(ms, () => {
           this.countRunning(id, -1);
           if (outcome === 'unanswered') this.abandoned.push(arrival);
-          dispatcher.releaseEndpoint(id, EVIDENCE[outcome]);
           const sent = exchange as unknown as Exchange;
+          dispatcher.releaseEndpoint(sent, id, EVIDENCE[outcome]);
           const isRetried =
             outcome === 'failed' &&
             exchange.triedEndpoints.size < MAX_ATTEMPTS &&
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -102,6 +102,7 @@
     slots: 8,
     draining: false,
     coldMs: 0,
+    startedMs: undefined,
     ...overrides,
   };
 }
--- /dev/null
+++ b/test/loadreports.test.ts
@@ -0,0 +1,59 @@
+/**
+ * Datagrams between sidecars and gateways, over loopback.
+ *
+ * Guards against a crash that gateways learn of only when the endpoint is back,
+ * and against datagrams without end for an endpoint that does not come back.
+ */
+import {expect} from 'chai';
+import {LoadPublisher, LoadSubscriber} from '../src/gateway/loadreports';
+import {systemClock} from '../src/kernel/clock';
+import {waitUntil} from '../standins/binaryprocess';
+import {freePort} from '../standins/caller';
+
+const ADDRESS = '127.0.0.2:8000';
+const LOAD = {
+  address: ADDRESS,
+  running: 1,
+  queued: 0,
+  group: 'g',
+  open: true,
+  pace: 1,
+};
+
+describe('sidecar that finds no process at its endpoint', () => {
+  it('tells the gateways a few times, and again after the next one', async () => {
+    const port = await freePort();
+    const log = () => undefined;
+    const publisher = new LoadPublisher(
+      {host: '127.0.0.2', port},
+      systemClock,
+      log,
+    );
+    let reports = 0;
+    const gone: string[] = [];
+    const subscriber = new LoadSubscriber({
+      self: {host: '127.0.0.3', port},
+      hosts: () => ['127.0.0.2'],
+      handleReport: () => (reports += 1),
+      handleProcessGone: address => gone.push(address),
+      clock: systemClock,
+      log,
+    });
+    await publisher.start();
+    await subscriber.start();
+    await waitUntil(() => {
+      publisher.publish({...LOAD, running: Math.random()});
+      return reports > 0;
+    }, 'a report');
+    for (let i = 0; i < 20; i++) publisher.publishProcessGone(ADDRESS);
+    await waitUntil(() => gone.length === 3, 'the notices');
+    const before = reports;
+    publisher.publish({...LOAD, running: 2});
+    await waitUntil(() => reports > before, 'another report');
+    expect(gone).to.deep.equal([ADDRESS, ADDRESS, ADDRESS]);
+    publisher.publishProcessGone(ADDRESS);
+    await waitUntil(() => gone.length === 4, 'another notice');
+    subscriber.stop();
+    publisher.stop();
+  });
+});
--- /dev/null
+++ b/test/platformentries.ts
@@ -0,0 +1,44 @@
+/** Entries of the platform, for tests that need several of them. */
+import {Deployment} from '../platform/settings';
+import {Program} from '../src/kernel/program';
+import {wirePlatformEntry} from '../src/wiring-platform';
+import {freePort} from '../standins/caller';
+
+export interface PlatformEntry {
+  readonly program: Program;
+  /** Address for callers. */
+  readonly address: string;
+}
+
+export async function startEntries(
+  count: number,
+  store: string,
+): Promise<readonly PlatformEntry[]> {
+  const entries: PlatformEntry[] = [];
+  for (let i = 0; i < count; i++) {
+    const address = `127.0.0.1:${await freePort()}`;
+    const deployment: Deployment = {
+      instance: `entry-${i}`,
+      zone: 'z1',
+      ip: '127.0.0.1',
+      callers: address,
+      readiness: undefined,
+      peerPort: await freePort(),
+      metricsPort: 0,
+      endpoint: undefined,
+      service: undefined,
+      store,
+      bounds: {
+        graceMs: 4_000,
+        revokeMs: 5_000,
+        failClosed: true,
+        retryRatio: 0.2,
+        retryWindowMs: 10_000,
+      },
+    };
+    const program = wirePlatformEntry(deployment);
+    await program.start();
+    entries.push({program, address});
+  }
+  return entries;
+}
--- a/test/promptcrash.test.ts
+++ b/test/promptcrash.test.ts
@@ -6,17 +6,15 @@
  */
 import http from 'node:http';
 import {expect} from 'chai';
-import {Deployment} from '../platform/settings';
-import {Program} from '../src/kernel/program';
-import {wirePlatformEntry} from '../src/wiring-platform';
 import {waitUntil} from '../standins/binaryprocess';
-import {freePort, Reply, sendAsCaller} from '../standins/caller';
+import {Reply, sendAsCaller} from '../standins/caller';
 import {
   EndpointStandin,
   ReceivedRequest,
   sealedHeaders,
 } from '../standins/endpoint';
 import {StoreStandin} from '../standins/store';
+import {PlatformEntry, startEntries} from './platformentries';
 
 const HOST = 'desk.example';
 const KEY = 'key-of-hydrotherm';
@@ -69,8 +67,7 @@
     {length: ENDPOINTS},
     () => new EndpointStandin(),
   );
-  const programs: Program[] = [];
-  const addresses: string[] = [];
+  let entries: readonly PlatformEntry[] = [];
   /** Times at which endpoints crashed. */
   const crashesMs: number[] = [];
   /** Times at which requests with the part reached an endpoint. */
@@ -130,7 +127,7 @@
   function send(parts: readonly string[]): SentRequest {
     requests += 1;
     const reply = sendAsCaller({
-      entry: addresses[requests % ENTRIES]!,
+      entry: entries[requests % ENTRIES]!.address,
       path: '/draft/1',
       body: 'x',
       headers: {
@@ -158,41 +155,16 @@
     const storeAddress = await store.start();
     store.put('op', 'config', configuration());
     for (const endpoint of endpoints) await runEndpoint(endpoint);
-    for (let i = 0; i < ENTRIES; i++) {
-      const callers = `127.0.0.1:${await freePort()}`;
-      const deployment: Deployment = {
-        instance: `entry-${i}`,
-        zone: 'z1',
-        ip: '127.0.0.1',
-        callers,
-        readiness: undefined,
-        peerPort: await freePort(),
-        metricsPort: 0,
-        endpoint: undefined,
-        service: undefined,
-        store: storeAddress,
-        bounds: {
-          graceMs: 4_000,
-          revokeMs: 5_000,
-          failClosed: true,
-          retryRatio: 0.2,
-          retryWindowMs: 10_000,
-        },
-      };
-      const program = wirePlatformEntry(deployment);
-      await program.start();
-      programs.push(program);
-      addresses.push(callers);
-    }
+    entries = await startEntries(ENTRIES, storeAddress);
     await waitUntil(async () => {
-      const replies = addresses.map(() => send([SHARED_PART]).reply);
+      const replies = entries.map(() => send([SHARED_PART]).reply);
       return (await Promise.all(replies)).every(r => r?.status === 200);
     }, 'the entries to serve');
   });
 
   after(async () => {
     timers.forEach(clearInterval);
-    await Promise.all(programs.map(program => program.stop()));
+    await Promise.all(entries.map(({program}) => program.stop()));
     store.stop();
     endpoints.forEach(endpoint => endpoint.stop());
   });
