Keep to the limit that an endpoint names, from all entries together

Callers saw: an endpoint in need names in its answers how many requests a second it takes from all entries, and got more than that (LIMIT).

Change: entries divide the limit like the rate of cold endpoints, by the number of entries that the endpoint's sidecar hears; coldrate.ts becomes sharedrate.ts. An entry that sees a limit, or its end, tells the sidecar, whose load reports tell all others; an entry whose part is less than one request a second would otherwise notice the end late.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -25,7 +25,6 @@
   servingEndpoints,
 } from './catalog';
 import {Choice, chooseEndpoint} from './endpointchoice';
-import {emptyColdSends, isWithinColdRate, recordColdSend} from './coldrate';
 import {CrashMonitor} from './crashmonitor';
 import {
   Dispatcher,
@@ -44,6 +43,7 @@
 } from './endpointload';
 import {EndpointLoad, Prompt} from './model';
 import {retryDelayMs, updateMeanMs, waitLimit} from './waitlimit';
+import {emptyLastSends, isWithinRate} from './sharedrate';
 import {
   countPlaced,
   emptyQueue,
@@ -72,6 +72,18 @@
 /** Largest random share added to a Retry-After, to spread out the retries. */
 const RETRY_AFTER_JITTER = 0.5;
 
+/**
+ * Allotted share of the rate of cold endpoints; the rest is for gateways that
+ * are not counted yet.
+ */
+const COLD_ALLOTTED_SHARE = 0.8;
+
+/**
+ * Least limit that is applied, in requests per second. An endpoint that gets no
+ * requests could not say that its limit has ended.
+ */
+const MIN_LIMIT_PER_S = 0.1;
+
 /** Number of gateways assumed to share limits before a report gives it. */
 const DEFAULT_GATEWAYS = 24;
 
@@ -89,9 +101,11 @@
   private queues = new Map<string, Queue<Exchange>>();
   /** Mean time for a complete answer, by service. */
   private readonly meanAnswerMs = new Map<string, number>();
-  private coldSends = emptyColdSends;
-  /** This gateway's place in the turns at each cold endpoint. */
-  private readonly coldPhases = new Map<string, number>();
+  private lastSends = emptyLastSends;
+  /** This gateway's place in the turns at each endpoint. */
+  private readonly phases = new Map<string, number>();
+  /** Limits that endpoints have named, in requests per second, by id. */
+  private readonly limitsPerS = new Map<string, number>();
   private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
   /** Requests that have not ended. */
   private readonly active = new Set<Exchange>();
@@ -109,6 +123,11 @@
     ) => void,
     private readonly onRetry: (service: string, allowed: boolean) => void,
     private readonly crashes: CrashMonitor,
+    /** Called with the limit of an endpoint, if any, after each answer. */
+    private readonly onLimit: (
+      endpoint: Registration,
+      limitPerS: number | undefined,
+    ) => void,
   ) {}
 
   currentCatalog(): Catalog {
@@ -147,8 +166,8 @@
     this.loads = retainLoads(this.loads, this.catalog.endpoints);
     for (const [id, endpoint] of change) {
       if (endpoint) this.crashes.handleRegistration(endpoint);
-      if (!endpoint) this.coldPhases.delete(id);
-      else if (endpoint.coldMs > 0) this.coldPhases.set(id, this.random());
+      if (!endpoint) this.forgetRates(id);
+      else if (!this.phases.has(id)) this.phases.set(id, this.random());
       const state = endpoint
         ? endpoint.draining
           ? 'draining'
@@ -175,9 +194,40 @@
       this.gateways = {count: gateways, untilMs: nowMs + GATEWAYS_VALID_MS};
     }
     this.loads = applyReport(this.loads, report, nowMs);
+    const {id, limitPerS} = report;
+    if (limitPerS !== undefined) this.setLimit(id, limitPerS, 'sidecar');
     this.serveIfWaiting();
   }
 
+  /** Takes the limit that an answer of the endpoint names, if any. */
+  reportLimit(endpoint: Registration, limitPerS: number | undefined): void {
+    this.setLimit(endpoint.id, limitPerS ?? 0, 'answer');
+    this.onLimit(endpoint, limitPerS);
+  }
+
+  /** Sets an endpoint's limit; 0 stands for none. */
+  private setLimit(
+    id: string,
+    limitPerS: number,
+    source: 'answer' | 'sidecar',
+  ): void {
+    if ((this.limitsPerS.get(id) ?? 0) === limitPerS) return;
+    if (limitPerS > 0) this.limitsPerS.set(id, limitPerS);
+    else this.limitsPerS.delete(id);
+    this.log('info', 'endpoint limit', {
+      endpoint: id,
+      limitPerS: limitPerS > 0 ? limitPerS : null,
+      source,
+      gateways: this.gateways.count,
+    });
+  }
+
+  private forgetRates(id: string): void {
+    this.phases.delete(id);
+    this.limitsPerS.delete(id);
+    this.lastSends = this.lastSends.delete(id);
+  }
+
   /** Accepts a request that has just been read. */
   submit(exchange: Exchange): void {
     this.active.add(exchange);
@@ -320,7 +370,7 @@
       zone: this.settings.zone,
       nowMs,
       random: this.random,
-      withinColdRate: endpoint => this.withinColdRate(endpoint, nowMs),
+      withinRate: endpoint => this.withinRate(endpoint, nowMs),
     });
   }
 
@@ -330,22 +380,28 @@
     this.loads = countSent(this.loads, endpoint.id);
     const queue = this.queueOf(service);
     this.queues.set(service, countPlaced(queue, account?.name ?? '', nowMs));
-    if (endpoint.coldUntilMs > nowMs) {
-      this.coldSends = recordColdSend(this.coldSends, endpoint.id, nowMs);
-    }
+    this.lastSends = this.lastSends.set(endpoint.id, nowMs);
     exchange.send(endpoint);
   }
 
-  /** Applies the rate limit of cold endpoints, which all gateways share. */
-  private withinColdRate(endpoint: Registration, nowMs: number): boolean {
-    if (endpoint.coldUntilMs <= nowMs) return true;
-    const service = this.catalog.services.get(endpoint.service);
+  /** Applies the rates of cold and limited endpoints, which gateways share. */
+  private withinRate({id, coldUntilMs, service}: Registration, nowMs: number) {
+    const coldPerS = this.catalog.services.get(service)?.coldRequestsPerS ?? 0;
+    const rates: number[] = [];
+    if (coldUntilMs > nowMs && coldPerS > 0) {
+      rates.push(coldPerS * COLD_ALLOTTED_SHARE);
+    }
+    const limitPerS = this.limitsPerS.get(id);
+    if (limitPerS !== undefined) {
+      rates.push(Math.max(limitPerS, MIN_LIMIT_PER_S));
+    }
+    if (rates.length === 0) return true;
     const rate = {
-      requestsPerS: service?.coldRequestsPerS ?? 0,
+      requestsPerS: Math.min(...rates),
       gateways: this.gateways.count,
-      phase: this.coldPhases.get(endpoint.id) ?? 0,
+      phase: this.phases.get(id) ?? 0,
     };
-    return isWithinColdRate(this.coldSends, endpoint.id, rate, nowMs);
+    return isWithinRate(this.lastSends, id, rate, nowMs);
   }
 
   private queueOf(service: string): Queue<Exchange> {
--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -33,8 +33,8 @@
   readonly nowMs: number;
   /** A number from 0 (inclusive) to 1 (exclusive). */
   readonly random: () => number;
-  /** Whether the endpoint, if cold, may get one more request now. */
-  readonly withinColdRate: (endpoint: Registration) => boolean;
+  /** Whether the endpoint, if cold or limited, may get a request now. */
+  readonly withinRate: (endpoint: Registration) => boolean;
 }
 
 export type Choice =
@@ -71,7 +71,7 @@
   const available = usable.filter(
     e =>
       estimatedRequests(loads, e.id, nowMs) <
-        e.slots + MAX_REQUESTS_BEYOND_SLOTS && context.withinColdRate(e),
+        e.slots + MAX_REQUESTS_BEYOND_SLOTS && context.withinRate(e),
   );
   if (available.length === 0) return {kind: 'full'};
   const notSlow = available.filter(e => !isSlow(loads, e.id, nowMs));
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -35,6 +35,8 @@
   reportProgress(exchange: Exchange): void;
   /** Called when another process has the endpoint's address. */
   reportMisdirected(endpoint: string): void;
+  /** Called when an endpoint has answered, with the limit that it names. */
+  reportLimit(endpoint: Registration, limitPerS: number | undefined): void;
   /** Takes one retry from the budget; false if there is none left. */
   takeRetry(exchange: Exchange): boolean;
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
@@ -232,6 +234,11 @@
     }
     this.head = head;
     this.answer = answer;
+    // A rejection need not name the limit, so it does not end one.
+    const tellsLimit = answer.limitPerS !== undefined || answer.signed;
+    if (this.endpoint && tellsLimit && !answer.misdirected) {
+      this.dispatcher.reportLimit(this.endpoint, answer.limitPerS);
+    }
   }
 
   private handleData(chunk: Buffer): void {
--- a/src/gateway/headercodec.ts
+++ b/src/gateway/headercodec.ts
@@ -44,6 +44,8 @@
   readonly notRun: boolean;
   /** The address belongs to a process other than the endpoint named. */
   readonly misdirected: boolean;
+  /** Requests per second that the endpoint takes from all gateways. */
+  readonly limitPerS: number | undefined;
 }
 
 /** Lists of headers alternate names and values, like Node's `rawHeaders`. */
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -5,7 +5,9 @@
  * sidecar sends its endpoint's load to the current subscribers, together with
  * their number, by which they divide shared limits. Lost datagrams are not
  * resent; the next one replaces them. A sidecar that finds no process at its
- * endpoint's address tells the subscribers so a few times.
+ * endpoint's address tells the subscribers so a few times. Only gateways see the
+ * limit that an endpoint names in its answers; they tell its sidecar, which
+ * passes it on with the load.
  */
 import dgram from 'node:dgram';
 import * as z from 'zod';
@@ -22,6 +24,8 @@
   readonly pace: number;
   /** Number of gateways that receive this report. */
   readonly gateways: number;
+  /** The limit that a gateway saw last; 0 if none, undefined if unknown. */
+  readonly limitPerS?: number;
 }
 
 const messageSchema = z.discriminatedUnion('kind', [
@@ -35,7 +39,9 @@
     open: z.boolean(),
     pace: z.number().positive(),
     gateways: z.number().int().min(0),
+    limitPerS: z.number().min(0).optional(),
   }),
+  z.object({kind: z.literal('limit'), limitPerS: z.number().min(0)}),
   z.object({kind: z.literal('gone'), address: z.string()}),
 ]);
 
@@ -104,9 +110,17 @@
   }
 }
 
+/** Interval at which a gateway repeats an unchanged limit, in milliseconds. */
+const LIMIT_REPEAT_MS = 1_000;
+
 /** The gateway's side: subscribes to all sidecars and passes on reports. */
 export class LoadSubscriber {
   private timer: Timer | undefined;
+  /** What each sidecar was told last; only those told a limit are held. */
+  private readonly toldLimits = new Map<
+    string,
+    {readonly limitPerS: number; readonly ms: number}
+  >();
   private readonly datagrams: DatagramSocket;
 
   constructor(
@@ -139,6 +153,19 @@
     this.datagrams.close();
   }
 
+  /** Tells a sidecar which limit its endpoint has named; 0 stands for none. */
+  tellLimit(host: string, limitPerS: number): void {
+    const told = this.toldLimits.get(host);
+    if (!told && limitPerS === 0) return;
+    const ms = this.deps.clock.elapsedMs();
+    const isKnown = told?.limitPerS === limitPerS;
+    if (isKnown && ms - told.ms < LIMIT_REPEAT_MS) return;
+    if (isKnown && limitPerS === 0) this.toldLimits.delete(host);
+    else this.toldLimits.set(host, {limitPerS, ms});
+    const {port} = this.deps.self;
+    this.datagrams.send({kind: 'limit', limitPerS}, {host, port});
+  }
+
   private subscribe(): void {
     const {port} = this.deps.self;
     for (const host of this.deps.hosts()) {
@@ -156,6 +183,7 @@
   >();
   private lastSent = {load: '', atMs: -Infinity};
   private goneSent = 0;
+  private limitPerS: number | undefined;
 
   constructor(
     private readonly self: Peer,
@@ -163,6 +191,7 @@
     log: Log,
   ) {
     this.datagrams = new DatagramSocket((body, from) => {
+      if (body.kind === 'limit') this.limitPerS = body.limitPerS;
       if (body.kind !== 'subscribe') return;
       const subscribedMs = this.clock.elapsedMs();
       this.subscribers.set(from.host, {...from, subscribedMs});
@@ -177,11 +206,12 @@
     this.datagrams.close();
   }
 
-  publish(report: Omit<LoadReport, 'gateways'>): void {
+  publish(report: Omit<LoadReport, 'gateways' | 'limitPerS'>): void {
     this.goneSent = 0;
     const nowMs = this.clock.elapsedMs();
     const {running, queued, open, pace} = report;
-    const load = `${running} ${queued} ${open} ${pace}`;
+    const {limitPerS} = this;
+    const load = `${running} ${queued} ${open} ${pace} ${limitPerS}`;
     const due = nowMs - this.lastSent.atMs >= REPEAT_INTERVAL_MS;
     if (load === this.lastSent.load && !due) return;
     this.lastSent = {load, atMs: nowMs};
@@ -191,12 +221,13 @@
     }
     const gateways = this.subscribers.size;
     for (const peer of this.subscribers.values()) {
-      this.datagrams.send({kind: 'load', ...report, gateways}, peer);
+      this.datagrams.send({kind: 'load', ...report, gateways, limitPerS}, peer);
     }
   }
 
   /** Tells the subscribers that no process listens at the address. */
   publishProcessGone(address: string): void {
+    this.limitPerS = undefined;
     if (this.goneSent >= GONE_REPEATS) return;
     this.goneSent += 1;
     for (const peer of this.subscribers.values()) {
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -157,4 +157,9 @@
   readonly open: boolean;
   /** Its time for the same work, divided by that of a healthy endpoint. */
   readonly pace: number;
+  /**
+   * Requests per second that the endpoint takes from all gateways; 0 if it has
+   * no limit, undefined if the sidecar does not know.
+   */
+  readonly limitPerS: number | undefined;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -137,6 +137,8 @@
         allowed: String(allowed),
       }),
     crashMonitor,
+    ({address}, limitPerS) =>
+      loadSubscriber.tellLimit(hostOf(address), limitPerS ?? 0),
   );
   const loopDelay = new LoopDelayMonitor(clock, log, ms =>
     registry.recordDuration('boragemill_event_loop_delay_ms', ms),
@@ -197,7 +199,7 @@
     clock,
     log,
   );
-  const loadSubscriber = new LoadSubscriber({
+  const loadSubscriber: LoadSubscriber = new LoadSubscriber({
     self: {host: ip, port: peerPort},
     hosts: () => modelEndpointHosts(dispatcher),
     handleReport: report => {
@@ -205,7 +207,10 @@
         .currentCatalog()
         .endpoints.find(e => e.address === report.address);
       if (found)
-        dispatcher.handleLoadReport({...report, id: found.id}, report.gateways);
+        dispatcher.handleLoadReport(
+          {...report, id: found.id, limitPerS: report.limitPerS},
+          report.gateways,
+        );
     },
     handleProcessGone: address => crashMonitor.handleProcessGone(address),
     clock,
@@ -261,13 +266,18 @@
   };
 }
 
+/** The host of an address `IP:port`. */
+function hostOf(address: string): string {
+  return address.slice(0, address.indexOf(':'));
+}
+
 /** Hosts of endpoints that may have a sidecar: those of model engines. */
 function modelEndpointHosts(dispatcher: RequestDispatcher): readonly string[] {
   const {endpoints, services} = dispatcher.currentCatalog();
   const hosts = endpoints
     .valueSeq()
     .filter(e => services.get(e.service)?.engine !== undefined)
-    .map(e => e.address.slice(0, e.address.indexOf(':')));
+    .map(e => hostOf(e.address));
   return [...new Set(hosts)];
 }
 
@@ -327,8 +337,7 @@
         .map(e => e.address)
         .toArray(),
     clientFor: address => {
-      const host = address.slice(0, address.indexOf(':'));
-      const sidecar = `${host}:${peerPort}`;
+      const sidecar = `${hostOf(address)}:${peerPort}`;
       return createRankClient(
         address,
         sidecar,
--- a/test/loadreports.test.ts
+++ b/test/loadreports.test.ts
@@ -20,6 +20,55 @@
   pace: 1,
 };
 
+describe('limit that an endpoint names', () => {
+  // Each gateway may send only now and then, and must still learn of the limit
+  // and of its end soon.
+  it('reaches gateways that have not seen it, and so does its end', async () => {
+    const port = await freePort();
+    const log = () => undefined;
+    const publisher = new LoadPublisher(
+      {host: '127.0.0.4', port},
+      systemClock,
+      log,
+    );
+    const limits = [new Set<unknown>(), new Set<unknown>()];
+    const subscribers = limits.map(
+      (seen, i) =>
+        new LoadSubscriber({
+          self: {host: `127.0.0.${5 + i}`, port},
+          hosts: () => ['127.0.0.4'],
+          handleReport: ({limitPerS}) => seen.add(limitPerS),
+          handleProcessGone: () => undefined,
+          clock: systemClock,
+          log,
+        }),
+    );
+    await publisher.start();
+    for (const subscriber of subscribers) await subscriber.start();
+    const publishUntil = (condition: () => boolean, what: string) =>
+      waitUntil(() => {
+        publisher.publish(LOAD);
+        return condition();
+      }, what);
+    await publishUntil(
+      () => limits.every(seen => seen.has(undefined)),
+      'reports without knowledge of a limit',
+    );
+    subscribers[0]!.tellLimit('127.0.0.4', 1.5);
+    await publishUntil(
+      () => limits.every(seen => seen.has(1.5)),
+      'the limit at both gateways',
+    );
+    subscribers[0]!.tellLimit('127.0.0.4', 0);
+    await publishUntil(
+      () => limits.every(seen => seen.has(0)),
+      'its end at both gateways',
+    );
+    subscribers.forEach(subscriber => subscriber.stop());
+    publisher.stop();
+  });
+});
+
 describe('sidecar that finds no process at its endpoint', () => {
   it('tells the gateways a few times, and again after the next one', async () => {
     const port = await freePort();
