Crash records: bound what is left in the store

Found while reading the diff: crash records stayed in the store for an hour however many there were, and each entry reads all of them at each change. Records that no conclusion depends on are removed after a write, in a call of their own, so that its failure does not hold up the records. crashmonitor.test.ts: 600 crashes leave fewer than 600 records.

--- a/src/gateway/crashmonitor.ts
+++ b/src/gateway/crashmonitor.ts
@@ -17,7 +17,6 @@
 import {
   addRecord,
   admission,
-  CRASH_RETENTION_MS,
   emptyQuarantine,
   Quarantine,
   QuarantinedPart,
@@ -30,10 +29,8 @@
 export interface CrashStore {
   /** The store's clock; undefined until the store has answered once. */
   nowMs(): number | undefined;
-  write(
-    records: ReadonlyMap<string, CrashRecord>,
-    removed: readonly string[],
-  ): Promise<void>;
+  write(records: ReadonlyMap<string, CrashRecord>): Promise<void>;
+  remove(keys: readonly string[]): Promise<void>;
   /** Writes a record unless its key exists; false if it does. */
   create(key: string, record: CrashRecord): Promise<boolean>;
 }
@@ -80,6 +77,7 @@
 /** Bounds on what is held, and on the size of a record. */
 const MAX_DISCONNECTS = 512;
 const MAX_PROMPTS_PER_CRASH = 24;
+const MAX_UNWRITTEN = 512;
 
 /** Parts whose answers this gateway remembers. */
 const MAX_ANSWERED_PARTS = 4_096;
@@ -258,6 +256,8 @@
   private addOwn(key: string, record: CrashRecord): void {
     this.quarantine = addRecord(this.quarantine, key, record);
     this.unwritten.set(key, record);
+    const [oldest] = this.unwritten.keys();
+    if (this.unwritten.size > MAX_UNWRITTEN) this.unwritten.delete(oldest!);
     this.scheduleWrite();
   }
 
@@ -331,23 +331,18 @@
 
   private async write(): Promise<void> {
     const records = new Map([...this.unwritten].slice(0, MAX_WRITES));
-    const oldestMs = (this.storeMs() ?? 0) - CRASH_RETENTION_MS;
-    const removed = [...this.shared]
-      .filter(([key, {atMs}]) => atMs < oldestMs && !records.has(key))
-      .map(([key]) => key)
-      .slice(0, MAX_WRITES);
     let delayMs = WRITE_DELAY_MS;
     try {
-      await this.deps.store.write(records, removed);
+      await this.deps.store.write(records);
       for (const [key, record] of records) {
         this.shared.set(key, record);
         if (this.unwritten.get(key) === record) this.unwritten.delete(key);
       }
-      removed.forEach(key => this.shared.delete(key));
+      await this.removeUnused();
     } catch (error) {
       delayMs = WRITE_RETRY_MS;
-      this.deps.log('warn', 'crash records not written; retrying', {
-        records: records.size,
+      this.deps.log('warn', 'crash records not written', {
+        unwritten: this.unwritten.size,
         reason: String(error),
       });
     }
@@ -355,6 +350,25 @@
     if (this.unwritten.size > 0) this.scheduleWrite(delayMs);
   }
 
+  /** Removes records from the store that no conclusion depends on. */
+  private async removeUnused(): Promise<void> {
+    const unused = [...this.shared]
+      .filter(([key, record]) => !this.isHeld(key, record))
+      .map(([key]) => key)
+      .slice(0, MAX_WRITES);
+    if (unused.length === 0) return;
+    await this.deps.store.remove(unused);
+    unused.forEach(key => this.shared.delete(key));
+  }
+
+  /** Whether conclusions still depend on a record. */
+  private isHeld(key: string, record: CrashRecord): boolean {
+    const {crashes, clearedMs, trialMs} = this.quarantine;
+    return record.kind === 'crash'
+      ? crashes.has(key)
+      : clearedMs.has(record.part) || trialMs.has(record.part);
+  }
+
   private storeMs(): number | undefined {
     return this.deps.store.nowMs();
   }
--- a/src/gateway/quarantine.ts
+++ b/src/gateway/quarantine.ts
@@ -66,7 +66,7 @@
 const QUARANTINE_MS = 600_000;
 
 /** Time after which a crash is forgotten. */
-export const CRASH_RETENTION_MS = 3_600_000;
+const CRASH_RETENTION_MS = 3_600_000;
 
 /** Bound on the crashes held; the oldest are dropped. */
 const MAX_CRASHES = 256;
--- a/test/crashmonitor.test.ts
+++ b/test/crashmonitor.test.ts
@@ -24,10 +24,14 @@
       instance: `gateway-${this.monitors.length}`,
       store: {
         nowMs: () => this.clock.elapsedMs() + 50_000,
-        write: (records, removed) => {
+        write: records => {
           if (this.isDown) return refuse();
           records.forEach((record, key) => this.records.set(key, record));
-          removed.forEach(key => this.records.delete(key));
+          this.publish();
+          return Promise.resolve();
+        },
+        remove: keys => {
+          keys.forEach(key => this.records.delete(key));
           this.publish();
           return Promise.resolve();
         },
@@ -175,6 +179,17 @@
     expect(seeing.rejectedPart(['a'])).to.equal(undefined);
   });
 
+  it('leaves a bounded number of records in the store', async () => {
+    const monitor = crashes.addGateway();
+    for (let i = 0; i < 600; i++) {
+      monitor.recordDisconnect(endpoint(`e${i}`), [`a${i}`]);
+      monitor.handleProcessGone(endpoint('').address);
+      monitor.recordProgress([`a${i - 1}`]);
+      await crashes.wait(500);
+    }
+    expect(crashes.records.size).to.be.within(256, 600);
+  });
+
   it('leaves the trial to one gateway', async () => {
     const gateways = Array.from({length: 12}, () => crashes.addGateway());
     await crashThrice(crashes, gateways[0]!, ['fatal']);
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -109,6 +109,7 @@
         store: {
           nowMs: () => undefined,
           write: () => Promise.resolve(),
+          remove: () => Promise.resolve(),
           create: () => Promise.resolve(false),
         },
         clock: this.clock,
