Endpoint limit: zero, rejections, and an end that another entry sees

Found while reading the diff: - A limit of zero counted as no limit. It counts as one request in ten seconds, as documented; endpointlimit.test.ts has the case. - A rejection that bears the endpoint's signature and no limit ended the limit. - An entry told a sidecar the end of a limit only if it had told it the limit. If the entry that had was gone, the sidecar went on reporting the limit; loadreports.test.ts has the case.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -123,10 +123,10 @@
     ) => void,
     private readonly onRetry: (service: string, allowed: boolean) => void,
     private readonly crashes: CrashMonitor,
-    /** Called with the limit of an endpoint, if any, after each answer. */
+    /** Called when an answer names a limit or, with 0, ends it. */
     private readonly onLimit: (
       endpoint: Registration,
-      limitPerS: number | undefined,
+      limitPerS: number,
     ) => void,
   ) {}
 
@@ -200,9 +200,14 @@
   }
 
   /** Takes the limit that an answer of the endpoint names, if any. */
-  reportLimit(endpoint: Registration, limitPerS: number | undefined): void {
-    this.setLimit(endpoint.id, limitPerS ?? 0, 'answer');
-    this.onLimit(endpoint, limitPerS);
+  reportLimit(endpoint: Registration, namedPerS: number | undefined): void {
+    const limitPerS =
+      namedPerS === undefined ? 0 : Math.max(namedPerS, MIN_LIMIT_PER_S);
+    const hadLimit = this.limitsPerS.has(endpoint.id);
+    this.setLimit(endpoint.id, limitPerS, 'answer');
+    // Whoever sees the end of a limit tells it, also if it was others that told
+    // the limit: they may be gone.
+    if (hadLimit || limitPerS > 0) this.onLimit(endpoint, limitPerS);
   }
 
   /** Sets an endpoint's limit; 0 stands for none. */
@@ -385,16 +390,15 @@
   }
 
   /** Applies the rates of cold and limited endpoints, which gateways share. */
-  private withinRate({id, coldUntilMs, service}: Registration, nowMs: number) {
+  private withinRate(endpoint: Registration, nowMs: number): boolean {
+    const {id, coldUntilMs, service} = endpoint;
     const coldPerS = this.catalog.services.get(service)?.coldRequestsPerS ?? 0;
     const rates: number[] = [];
     if (coldUntilMs > nowMs && coldPerS > 0) {
       rates.push(coldPerS * COLD_ALLOTTED_SHARE);
     }
     const limitPerS = this.limitsPerS.get(id);
-    if (limitPerS !== undefined) {
-      rates.push(Math.max(limitPerS, MIN_LIMIT_PER_S));
-    }
+    if (limitPerS !== undefined) rates.push(limitPerS);
     if (rates.length === 0) return true;
     const rate = {
       requestsPerS: Math.min(...rates),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -235,7 +235,8 @@
     this.head = head;
     this.answer = answer;
     // A rejection need not name the limit, so it does not end one.
-    const tellsLimit = answer.limitPerS !== undefined || answer.signed;
+    const hasRun = answer.signed && !answer.notRun;
+    const tellsLimit = answer.limitPerS !== undefined || hasRun;
     if (this.endpoint && tellsLimit && !answer.misdirected) {
       this.dispatcher.reportLimit(this.endpoint, answer.limitPerS);
     }
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -116,7 +116,7 @@
 /** The gateway's side: subscribes to all sidecars and passes on reports. */
 export class LoadSubscriber {
   private timer: Timer | undefined;
-  /** What each sidecar was told last; only those told a limit are held. */
+  /** What each sidecar was told last. */
   private readonly toldLimits = new Map<
     string,
     {readonly limitPerS: number; readonly ms: number}
@@ -156,12 +156,10 @@
   /** Tells a sidecar which limit its endpoint has named; 0 stands for none. */
   tellLimit(host: string, limitPerS: number): void {
     const told = this.toldLimits.get(host);
-    if (!told && limitPerS === 0) return;
     const ms = this.deps.clock.elapsedMs();
     const isKnown = told?.limitPerS === limitPerS;
     if (isKnown && ms - told.ms < LIMIT_REPEAT_MS) return;
-    if (isKnown && limitPerS === 0) this.toldLimits.delete(host);
-    else this.toldLimits.set(host, {limitPerS, ms});
+    this.toldLimits.set(host, {limitPerS, ms});
     const {port} = this.deps.self;
     this.datagrams.send({kind: 'limit', limitPerS}, {host, port});
   }
--- a/test/endpointlimit.test.ts
+++ b/test/endpointlimit.test.ts
@@ -59,7 +59,7 @@
   const timers: NodeJS.Timeout[] = [];
   let entries: readonly PlatformEntry[] = [];
   let requests = 0;
-  let namesLimit = true;
+  let limit: string | undefined = String(LIMIT_PER_S);
 
   function send(): Promise<number | undefined> {
     requests += 1;
@@ -83,11 +83,11 @@
     for (const [i, endpoint] of endpoints.entries()) {
       await endpoint.start();
       endpoint.handler = (arrival, res: http.ServerResponse) => {
-        const limit =
-          endpoint === limited && namesLimit
-            ? {'Server-Limit': String(LIMIT_PER_S)}
+        const named =
+          endpoint === limited && limit !== undefined
+            ? {'Server-Limit': limit}
             : {};
-        res.writeHead(200, {...sealedHeaders(arrival), ...limit});
+        res.writeHead(200, {...sealedHeaders(arrival), ...named});
         res.end('done');
       };
       store.put('servers', `i-${i}`, {
@@ -131,7 +131,7 @@
   });
 
   it('is used as before once it no longer names the limit', async () => {
-    namesLimit = false;
+    limit = undefined;
     let arrivals = 0;
     const {handler} = limited;
     limited.handler = (arrival, res) => {
@@ -141,5 +141,21 @@
     timers.push(setInterval(() => void send(), REQUEST_INTERVAL_MS));
     // Far more than the limit allows in the time of the test.
     await waitUntil(() => arrivals > 60, 'the endpoint to be used', 25_000);
+    timers.forEach(clearInterval);
+  });
+
+  it('gets hardly anything while its limit is zero', async () => {
+    limit = '0';
+    const arrivals: number[] = [];
+    const {handler} = limited;
+    limited.handler = (arrival, res) => {
+      arrivals.push(Date.now());
+      void handler(arrival, res);
+    };
+    const fromMs = Date.now() + CONTACT_MS;
+    timers.push(setInterval(() => void send(), REQUEST_INTERVAL_MS));
+    await new Promise(done => setTimeout(done, CONTACT_MS + WINDOW_MS));
+    timers.forEach(clearInterval);
+    expect(mostInWindow(arrivals, fromMs)).to.be.at.most(5);
   });
 });
--- a/test/loadreports.test.ts
+++ b/test/loadreports.test.ts
@@ -59,7 +59,8 @@
       () => limits.every(seen => seen.has(1.5)),
       'the limit at both gateways',
     );
-    subscribers[0]!.tellLimit('127.0.0.4', 0);
+    // The gateway that told the limit may be gone.
+    subscribers[1]!.tellLimit('127.0.0.4', 0);
     await publishUntil(
       () => limits.every(seen => seen.has(0)),
       'its end at both gateways',
