Quarantine: count one crash once, whatever its observers' clocks say

Found while reading the diff: crashes were told apart by time only, and each entry estimates the store's clock from answers that may be late, by seconds if a poll's answer is. One crash that three entries saw could so quarantine a sound part. Crashes are told apart by the endpoint's process, and the clock's estimate is the one of the least late answer. quarantine.test.ts, "counts one crash that several gateways saw once": failed before with estimates 0.9 s apart.

--- a/src/gateway/quarantine.ts
+++ b/src/gateway/quarantine.ts
@@ -171,20 +171,27 @@
   readonly position: number;
 }
 
+/**
+ * Times of crashes by endpoint. Gateways that saw the same crash may estimate
+ * its time differently.
+ */
+type CrashTimes = globalThis.Map<string, number>;
+
 /** The part that explains the most crashes, if it explains enough of them. */
 function mostSuspect(
   quarantine: Quarantine,
   crashes: readonly Crash[],
 ): string | undefined {
-  const timesMs = new globalThis.Map<string, number[]>();
+  const timesMs = new globalThis.Map<string, CrashTimes>();
   const positions = new globalThis.Map<string, number>();
   for (const crash of crashes) {
     for (const prompt of crash.prompts) {
       prompt.forEach((part, position) => {
         if (!isSuspect(quarantine, crash, part)) return;
-        const known = timesMs.get(part);
-        if (known) known.push(crash.atMs);
-        else timesMs.set(part, [crash.atMs]);
+        const times: CrashTimes = timesMs.get(part) ?? new globalThis.Map();
+        const {endpoint, atMs} = crash;
+        const firstMs = Math.min(atMs, times.get(endpoint) ?? Infinity);
+        timesMs.set(part, times.set(endpoint, firstMs));
         positions.set(part, Math.max(position, positions.get(part) ?? 0));
       });
     }
@@ -193,7 +200,7 @@
   for (const [part, times] of timesMs) {
     const suspicion = {
       part,
-      crashes: countDistinct(times),
+      crashes: countDistinct(times.values()),
       wasCleared: quarantine.clearedMs.has(part),
       position: positions.get(part)!,
     };
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -93,7 +93,10 @@
   });
 
   it('counts one crash that several gateways saw once', () => {
-    const records = [0, 1, 2, 3].map(() => crash(100, ['a']));
+    // Their estimates of the store's clock may differ.
+    const records = [0, 900, 1_800, 2_700].map((atMs): CrashRecord => {
+      return {kind: 'crash', endpoint: 'e', atMs, prompts: [['a']]};
+    });
     expect(quarantined(...records)).to.be.empty;
   });
 
