Test of requests left at a silent endpoint: play eight seeds

The test had one seed. Since the limits of endpoints, gateways draw a random number for each registration, which shifts the draws of the model, and on that seed the endpoint happens to be empty when it stops: the test passed although the fault is not corrected.

--- a/test/silentendpoint.test.ts
+++ b/test/silentendpoint.test.ts
@@ -56,10 +56,15 @@
 
   it('has no requests left when their callers leave', async () => {
     // Its reports stop long before callers abandon a stream, so there is time
-    // to send what may run again to another endpoint.
-    const model = overloadedDeployment({});
-    await model.runUntil(END_MS);
-    expect(model.abandoned).to.have.length(0);
+    // to send what may run again to another endpoint. On some seeds the endpoint
+    // happens to be empty when it stops.
+    let abandoned = 0;
+    for (let seed = 1; seed <= 8; seed++) {
+      const model = overloadedDeployment({seed});
+      await model.runUntil(END_MS);
+      abandoned += model.abandoned.length;
+    }
+    expect(abandoned).to.equal(0);
   });
 
   it('gets no more than its share when no endpoint reports', async () => {
