--- a/src/gateway/crashmonitor.ts
+++ b/src/gateway/crashmonitor.ts
@@ -103,20 +103,21 @@
   private quarantined: ReadonlyMap<string, QuarantinedPart> = new Map();
   private suspects: ReadonlySet<string> = new Set();
   private disconnects: readonly Disconnect[] = [];
-  /** Time by the store's clock at which an answer last went on, by part. */
+  /** Time by the store's clock at which an answer last continued, by part. */
   private readonly answeredMs = new LRUCache<string, number>({
     max: MAX_ANSWERED_PARTS,
   });
-  private shareScheduled = false;
   /** Records of the store, by key. */
   private readonly shared = new Map<string, CrashRecord>();
   /** Records of this gateway that are not in the store yet. */
   private readonly unwritten = new Map<string, CrashRecord>();
-  private writeScheduled = false;
+  private shareScheduled = false;
   private updateScheduled = false;
+  private writeScheduled = false;
   /** Parts for which this gateway may admit one request. */
   private readonly permits = new Set<string>();
-  private readonly trialsAsked = new Set<string>();
+  /** Keys of trial records that are being created. */
+  private readonly pendingTrials = new Set<string>();
 
   constructor(private readonly deps: CrashMonitorDependencies) {}
 
@@ -145,7 +146,7 @@
     this.confirmCrash(d => d.address === address && d.ms >= sinceMs, 'sidecar');
   }
 
-  /** Called when an endpoint registers, also again. */
+  /** Called for each new or renewed registration of an endpoint. */
   handleRegistration(endpoint: Endpoint): void {
     if (this.disconnects.length === 0) return;
     const process = processOf(endpoint);
@@ -155,7 +156,7 @@
     );
   }
 
-  /** Called when an answer goes on after its first event. */
+  /** Called when an answer continues after its first event. */
   recordProgress(prompt: Prompt): void {
     const atMs = this.storeMs();
     if (atMs === undefined) return;
@@ -188,11 +189,11 @@
     if (decision.kind === 'admit') return undefined;
     const {part} = decision;
     if (this.permits.delete(part)) return undefined;
-    if (decision.kind === 'trial') void this.askForTrial(part, nowMs);
+    if (decision.kind === 'trial') void this.requestTrial(part, nowMs);
     return part;
   }
 
-  /** Clears suspect parts by answers that this gateway knows of. */
+  /** Clears suspect parts on which this gateway has seen an answer continue. */
   private shareAnswers(parts: Iterable<string>): void {
     let cleared = false;
     for (const part of parts) {
@@ -296,12 +297,12 @@
     this.scheduleShare();
   }
 
-  private async askForTrial(part: string, nowMs: number): Promise<void> {
+  private async requestTrial(part: string, nowMs: number): Promise<void> {
     const lastMs = this.quarantined.get(part)?.lastMs ?? 0;
     // The key is the same at all gateways, so only one of them creates it.
     const key = `trial/${keyOf(part)}/${lastMs}`;
-    if (this.trialsAsked.has(key)) return;
-    this.trialsAsked.add(key);
+    if (this.pendingTrials.has(key)) return;
+    this.pendingTrials.add(key);
     try {
       const atMs = Math.round(nowMs);
       const granted = await this.deps.store.create(key, {
@@ -320,7 +321,7 @@
         reason: String(error),
       });
     }
-    this.trialsAsked.delete(key);
+    this.pendingTrials.delete(key);
   }
 
   private scheduleWrite(delayMs = WRITE_DELAY_MS): void {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -31,7 +31,7 @@
     endpoint: string,
     evidence: EndpointEvidence,
   ): void;
-  /** Called when an answer goes on after its first event, or is complete. */
+  /** Called when an answer continues after its first event, or is complete. */
   reportProgress(exchange: Exchange): void;
   /** Called when another process has the endpoint's address. */
   reportMisdirected(endpoint: string): void;
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -125,7 +125,7 @@
       /** Prompts of the requests that were there. */
       readonly prompts: readonly Prompt[];
     }
-  /** An answer on the part went on after its first event. */
+  /** An answer on the part continued after its first event. */
   | {readonly kind: 'cleared'; readonly part: string; readonly atMs: number}
   /** One request with the quarantined part was admitted. */
   | {readonly kind: 'trial'; readonly part: string; readonly atMs: number};
--- a/src/gateway/quarantine.ts
+++ b/src/gateway/quarantine.ts
@@ -4,19 +4,19 @@
  *
  * A part that crashes endpoints does so each time one begins to write an answer
  * on it, whatever else the prompt holds. A crash is therefore evidence against
- * all shared parts of the requests that were there, and an answer that goes on
+ * all shared parts of the requests that were there, and an answer that continues
  * after its first event clears its parts of all earlier crashes. A part is
  * quarantined after some crashes of which it has not been cleared. Endpoints
  * that crash together count once, because a common cause, such as a lost zone,
  * is more likely than a part that reached all of them at once.
  *
- * Sound parts often come together with the part that crashes endpoints. Each
+ * Other parts often come together with the part that crashes endpoints. Each
  * crash is therefore explained by one quarantined part only: one that was never
  * cleared goes before others, then the one with the most crashes, then the one
  * that stands later in the prompt and so is shared by fewer requests.
  *
  * A quarantine holds for `QUARANTINE_MS` after the last crash. Then a single
- * request is admitted as a trial: if its answer goes on, the part is cleared,
+ * request is admitted as a trial: if its answer continues, the part is cleared,
  * and if its endpoint crashes, the quarantine starts anew.
  *
  * All times are those of the store's clock, which the gateways share.
@@ -30,7 +30,7 @@
 export interface Quarantine {
   /** Crashes by a key that is unique to the endpoint and the observer. */
   readonly crashes: Map<string, Crash>;
-  /** Last time at which an answer went on, by part. */
+  /** Last time at which an answer continued after its first event, by part. */
   readonly clearedMs: Map<string, number>;
   /** Last time at which a trial was admitted, by part. */
   readonly trialMs: Map<string, number>;
@@ -54,8 +54,8 @@
 const MIN_CRASHES = 3;
 
 /**
- * The same for a part on which an answer has gone on. Where endpoints crash
- * often for other reasons, popular parts are often there.
+ * The same for a part on which an answer has continued. Where endpoints crash
+ * often for other reasons, popular parts are present at several crashes.
  */
 const MIN_CRASHES_IF_CLEARED = 5;
 
--- a/test/promptcrash.test.ts
+++ b/test/promptcrash.test.ts
@@ -2,7 +2,7 @@
  * A part of a prompt under which endpoints crash, end to end over loopback.
  *
  * Guards against entries that go on sending requests with that part, and
- * against sound requests that are no longer served because of it.
+ * against other requests that are no longer served because of it.
  */
 import http from 'node:http';
 import {expect} from 'chai';
@@ -72,7 +72,8 @@
   const crashesMs: number[] = [];
   /** Times at which requests with the part reached an endpoint. */
   const fatalArrivalsMs: number[] = [];
-  const sound: SentRequest[] = [];
+  /** Requests without the part. */
+  const harmless: SentRequest[] = [];
   const timers: NodeJS.Timeout[] = [];
   let starts = 0;
   let requests = 0;
@@ -143,9 +144,9 @@
     return {ms: Date.now(), reply: reply.catch(() => undefined)};
   }
 
-  /** Share of the sound requests sent in a span that were served whole. */
+  /** Share of the harmless requests sent in a span that were served whole. */
   async function servedShare(fromMs: number, toMs: number): Promise<number> {
-    const sent = sound.filter(r => r.ms >= fromMs && r.ms < toMs);
+    const sent = harmless.filter(r => r.ms >= fromMs && r.ms < toMs);
     const replies = await Promise.all(sent.map(r => r.reply));
     const served = replies.filter(r => r?.status === 200 && r.whole);
     return served.length / sent.length;
@@ -169,9 +170,9 @@
     endpoints.forEach(endpoint => endpoint.stop());
   });
 
-  it('is no longer sent after a few crashes, and sound requests are served', async () => {
+  it('is no longer sent after a few crashes, and other requests are served', async () => {
     const calmFromMs = Date.now();
-    timers.push(setInterval(() => sound.push(send([SHARED_PART])), 20));
+    timers.push(setInterval(() => harmless.push(send([SHARED_PART])), 20));
     await new Promise(done => setTimeout(done, 1_000));
     const troubleFromMs = Date.now();
     timers.push(setInterval(() => send([SHARED_PART, FATAL_PART]), 60));
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -1,7 +1,7 @@
 /**
  * Decisions on prompt parts under which endpoints crash.
  *
- * Guards against sound parts that are rejected, and against a part that goes on
+ * Guards against harmless parts that are rejected, and against a part that goes on
  * crashing endpoints because the evidence against it is not found.
  */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
@@ -136,7 +136,7 @@
   /**
    * Plays crashes of one endpoint after the other, each with requests in flight
    * whose first parts are drawn by popularity; most have been answered before,
-   * and between crashes some of the sound parts are cleared. Returns the parts quarantined after each crash.
+   * and between crashes some of the harmless parts are cleared. Returns the parts quarantined after each crash.
    */
   function play(seed: number, crashes: number, fatal: boolean): string[][] {
     const generator = xoroshiro128plus(seed);
