--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -79,7 +79,7 @@
 const COLD_ALLOTTED_SHARE = 0.8;
 
 /**
- * Least limit that is applied, in requests per second. An endpoint that gets no
+ * Lowest limit that is applied, in requests per second. An endpoint that gets no
  * requests could not say that its limit has ended.
  */
 const MIN_LIMIT_PER_S = 0.1;
@@ -205,8 +205,8 @@
       namedPerS === undefined ? 0 : Math.max(namedPerS, MIN_LIMIT_PER_S);
     const hadLimit = this.limitsPerS.has(endpoint.id);
     this.setLimit(endpoint.id, limitPerS, 'answer');
-    // Whoever sees the end of a limit tells it, also if it was others that told
-    // the limit: they may be gone.
+    // The end of a limit is sent even if another gateway sent the limit, because
+    // that gateway may have stopped.
     if (hadLimit || limitPerS > 0) this.onLimit(endpoint, limitPerS);
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -234,10 +234,10 @@
     }
     this.head = head;
     this.answer = answer;
-    // A rejection need not name the limit, so it does not end one.
+    // A rejection without a limit does not show that the limit has ended.
     const hasRun = answer.signed && !answer.notRun;
-    const tellsLimit = answer.limitPerS !== undefined || hasRun;
-    if (this.endpoint && tellsLimit && !answer.misdirected) {
+    const showsLimit = answer.limitPerS !== undefined || hasRun;
+    if (this.endpoint && showsLimit && !answer.misdirected) {
       this.dispatcher.reportLimit(this.endpoint, answer.limitPerS);
     }
   }
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -6,8 +6,8 @@
  * their number, by which they divide shared limits. Lost datagrams are not
  * resent; the next one replaces them. A sidecar that finds no process at its
  * endpoint's address tells the subscribers so a few times. Only gateways see the
- * limit that an endpoint names in its answers; they tell its sidecar, which
- * passes it on with the load.
+ * limit that an endpoint names in its answers; they send it to its sidecar, which
+ * reports it with the load.
  */
 import dgram from 'node:dgram';
 import * as z from 'zod';
@@ -116,8 +116,8 @@
 /** The gateway's side: subscribes to all sidecars and passes on reports. */
 export class LoadSubscriber {
   private timer: Timer | undefined;
-  /** What each sidecar was told last. */
-  private readonly toldLimits = new Map<
+  /** The last limit sent to each sidecar, by host. */
+  private readonly sentLimits = new Map<
     string,
     {readonly limitPerS: number; readonly ms: number}
   >();
@@ -153,13 +153,13 @@
     this.datagrams.close();
   }
 
-  /** Tells a sidecar which limit its endpoint has named; 0 stands for none. */
-  tellLimit(host: string, limitPerS: number): void {
-    const told = this.toldLimits.get(host);
+  /** Sends a sidecar the limit that its endpoint named; 0 stands for none. */
+  sendLimit(host: string, limitPerS: number): void {
+    const sent = this.sentLimits.get(host);
     const ms = this.deps.clock.elapsedMs();
-    const isKnown = told?.limitPerS === limitPerS;
-    if (isKnown && ms - told.ms < LIMIT_REPEAT_MS) return;
-    this.toldLimits.set(host, {limitPerS, ms});
+    const isKnown = sent?.limitPerS === limitPerS;
+    if (isKnown && ms - sent.ms < LIMIT_REPEAT_MS) return;
+    this.sentLimits.set(host, {limitPerS, ms});
     const {port} = this.deps.self;
     this.datagrams.send({kind: 'limit', limitPerS}, {host, port});
   }
--- a/src/gateway/sharedrate.ts
+++ b/src/gateway/sharedrate.ts
@@ -1,6 +1,6 @@
 /**
  * Rates of requests to an endpoint that all gateways share: the rate that a
- * cold endpoint can serve, and the limit that an endpoint in need names.
+ * cold endpoint can serve, and the limit that an overloaded endpoint names.
  *
  * Load pattern: a whole zone restarts cold, or most endpoints of a service name
  * a limit, and all gateways see room there at once. Each gateway may use an
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -138,7 +138,7 @@
       }),
     crashMonitor,
     ({address}, limitPerS) =>
-      loadSubscriber.tellLimit(hostOf(address), limitPerS),
+      loadSubscriber.sendLimit(hostOf(address), limitPerS),
   );
   const loopDelay = new LoopDelayMonitor(clock, log, ms =>
     registry.recordDuration('boragemill_event_loop_delay_ms', ms),
--- a/test/loadreports.test.ts
+++ b/test/loadreports.test.ts
@@ -54,13 +54,13 @@
       () => limits.every(seen => seen.has(undefined)),
       'reports without knowledge of a limit',
     );
-    subscribers[0]!.tellLimit('127.0.0.4', 1.5);
+    subscribers[0]!.sendLimit('127.0.0.4', 1.5);
     await publishUntil(
       () => limits.every(seen => seen.has(1.5)),
       'the limit at both gateways',
     );
-    // The gateway that told the limit may be gone.
-    subscribers[1]!.tellLimit('127.0.0.4', 0);
+    // The gateway that sent the limit may have stopped.
+    subscribers[1]!.sendLimit('127.0.0.4', 0);
     await publishUntil(
       () => limits.every(seen => seen.has(0)),
       'its end at both gateways',
