Request log: the load that an entry assumed, and its age

An incident had 15 requests from 15 entries at one endpoint with 7 slots within 0.19 s, and 55 requests from 20 entries at another within 0.06 s. Its logs tell to which endpoint an attempt was sent, but not what the entry assumed of that endpoint's load. So they can't tell apart whether all entries acted on the same load report, whether the reports were late or lost, or whether the choice went against what the entry knew.

The `request` line has a new field, `estimates`: for each attempt, the number of requests assumed at the endpoint before the attempt was added, and the age of the load report in ms. The form of `tries` is unchanged.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -38,6 +38,7 @@
   countSent,
   emptyLoads,
   isGroupOpen,
+  loadEstimate,
   Loads,
   retainLoads,
 } from './endpointload';
@@ -382,11 +383,12 @@
   private send(exchange: Exchange, endpoint: Registration): void {
     const {service, account} = exchange.incoming;
     const nowMs = this.clock.elapsedMs();
+    const estimate = loadEstimate(this.loads, endpoint.id, nowMs);
     this.loads = countSent(this.loads, endpoint.id);
     const queue = this.queueOf(service);
     this.queues.set(service, countPlaced(queue, account?.name ?? '', nowMs));
     this.lastSends = this.lastSends.set(endpoint.id, nowMs);
-    exchange.send(endpoint);
+    exchange.send(endpoint, estimate);
   }
 
   /** Applies the rates of cold and limited endpoints, which gateways share. */
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -66,6 +66,25 @@
   return loads.set(report.id, load);
 }
 
+/** What a gateway assumed about an endpoint's load when it sent a request. */
+export interface LoadEstimate {
+  readonly requests: number;
+  /** Age of the last report; undefined before the first. */
+  readonly reportAgeMs: number | undefined;
+}
+
+export function loadEstimate(
+  loads: Loads,
+  id: string,
+  nowMs: number,
+): LoadEstimate {
+  const {reportedMs} = loads.get(id, UNKNOWN_LOAD);
+  return {
+    requests: estimatedRequests(loads, id, nowMs),
+    reportAgeMs: reportedMs === -Infinity ? undefined : nowMs - reportedMs,
+  };
+}
+
 /** Estimated number of requests at the endpoint. */
 export function estimatedRequests(
   loads: Loads,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -16,6 +16,7 @@
   nextStep,
 } from './attempts';
 import {Registration} from './catalog';
+import {LoadEstimate} from './endpointload';
 import {EventSplitter} from './eventsplitter';
 import {Account, Route} from './model';
 import {AnswerMetadata, HeaderCodec, RequestMetadata} from './headercodec';
@@ -68,6 +69,8 @@
   readonly outcome: AttemptOutcome | 'answered' | 'aborted';
   readonly ms: number;
   readonly reason?: string;
+  /** Load of the endpoint as estimated when the attempt was sent. */
+  readonly estimate: LoadEstimate;
 }
 
 export interface ExchangeResult {
@@ -110,6 +113,7 @@
   private readonly tries: AttemptRecord[] = [];
   private attempt: Attempt | undefined;
   private endpoint: Registration | undefined;
+  private estimate: LoadEstimate = {requests: 0, reportAgeMs: undefined};
   private startedMs = 0;
   private splitter: EventSplitter;
   private head: AnswerHead | undefined;
@@ -159,11 +163,12 @@
   }
 
   /** Sends the request to an endpoint. */
-  send(endpoint: Registration): void {
+  send(endpoint: Registration, estimate: LoadEstimate): void {
     const {req, account, body, route} = this.incoming;
     const {clock, headers} = this.deps;
     const leftMs = Math.floor(this.deadlineMs - clock.elapsedMs());
     this.endpoint = endpoint;
+    this.estimate = estimate;
     this.triedEndpoints.add(endpoint.id);
     this.startedMs = clock.elapsedMs();
     this.head = undefined;
@@ -358,7 +363,8 @@
   ): void {
     if (!this.endpoint) return;
     const ms = Math.round(this.deps.clock.elapsedMs() - this.startedMs);
-    this.tries.push({endpoint: this.endpoint.id, outcome, ms, reason});
+    const {endpoint, estimate} = this;
+    this.tries.push({endpoint: endpoint.id, outcome, ms, reason, estimate});
   }
 
   private releaseAttempt(evidence: EndpointEvidence): void {
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -126,6 +126,11 @@
         tries: ended.tries
           .map(t => `${t.endpoint}:${t.outcome}:${t.ms}:${t.reason ?? ''}`)
           .join(' '),
+        estimates: ended.tries
+          .map(({estimate: {requests, reportAgeMs = -1}}) =>
+            [requests, Math.round(reportAgeMs)].join(':'),
+          )
+          .join(' '),
         parts: ended.tries.some(t => t.outcome === 'broken')
           ? call.sharedParts.join(',')
           : undefined,
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -35,6 +35,7 @@
   countSent,
   emptyLoads,
   estimatedRequests,
+  loadEstimate,
 } from '../src/gateway/endpointload';
 import {
   Configuration,
@@ -389,6 +390,14 @@
     expect(estimatedRequests(loads, 'a', 60_000)).to.equal(0);
   });
 
+  it('states with an estimate how old the report behind it is', () => {
+    const loads = emptyLoads.set('a', report('a', 6));
+    const estimate = loadEstimate(countSent(loads, 'a'), 'a', 240);
+    expect(estimate).to.deep.equal({requests: 7, reportAgeMs: 240});
+    const unknown = {requests: 0, reportAgeMs: undefined};
+    expect(loadEstimate(loads, 'b', 240)).to.deep.equal(unknown);
+  });
+
   it('sends to a slow rank only if no other has room', () => {
     // All ranks of a group wait for the slowest in each pass.
     let loads = emptyLoads.set('a', report('a', 0, true, 4));
