Test: a crowd at the endpoints whose reported load is lowest

test/endpointqueuemodel.ts plays gateways, endpoints with slots and a queue, and load reports every 250 ms whose values are 200 ms old, in virtual time. The parts that it shares with test/deploymentmodel.ts are functions there.

--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -8,15 +8,16 @@
 import {CrashMonitor} from '../src/gateway/crashmonitor';
 import {RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
+import {Clock} from '../src/kernel/clock';
 import {Endpoint, EndpointLoad, Route} from '../src/gateway/model';
 
 export const RETRY_RATIO = 0.2;
 export const RETRY_WINDOW_MS = 10_000;
 
-const REPORT_INTERVAL_MS = 250;
-const MAX_ATTEMPTS = 4;
+export const REPORT_INTERVAL_MS = 250;
+export const MAX_ATTEMPTS = 4;
 
-const ROUTE: Route = {
+export const ROUTE: Route = {
   name: 'r',
   host: 'desk.example',
   prefix: '/',
@@ -31,6 +32,57 @@
   resumable: true,
 };
 
+/** A gateway's dispatcher whose logs and crash records go nowhere. */
+export function createDispatcher(gateway: {
+  readonly instance: string;
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly random: () => number;
+}): RequestDispatcher {
+  const {instance, zone, clock, random} = gateway;
+  return new RequestDispatcher(
+    {zone, retryRatio: RETRY_RATIO, retryWindowMs: RETRY_WINDOW_MS},
+    clock,
+    random,
+    () => undefined,
+    () => undefined,
+    () => undefined,
+    new CrashMonitor({
+      instance,
+      store: {
+        nowMs: () => undefined,
+        write: () => Promise.resolve(),
+        remove: () => Promise.resolve(),
+        create: () => Promise.resolve(false),
+      },
+      clock,
+      log: () => undefined,
+      random,
+      handleQuarantine: () => undefined,
+    }),
+    () => undefined,
+  );
+}
+
+/** Registration of the endpoint with the given index. */
+export function registeredEndpoint(
+  id: string,
+  index: number,
+  zone: string,
+  slots: number,
+): Endpoint {
+  return {
+    id,
+    service: 's',
+    address: `10.0.0.${index}:80`,
+    zone,
+    slots,
+    draining: false,
+    coldMs: 0,
+    startedMs: undefined,
+  };
+}
+
 /** How an endpoint treats a request. */
 export interface Treatment {
   /** Time after which the attempt ends. */
@@ -97,41 +149,16 @@
 
   /** Replaces a gateway by a new process. */
   restart(gateway: number): void {
-    const dispatcher = new RequestDispatcher(
-      {zone: 'z', retryRatio: RETRY_RATIO, retryWindowMs: RETRY_WINDOW_MS},
-      this.clock,
-      this.random,
-      () => undefined,
-      () => undefined,
-      () => undefined,
-      new CrashMonitor({
-        instance: `g${gateway}`,
-        store: {
-          nowMs: () => undefined,
-          write: () => Promise.resolve(),
-          remove: () => Promise.resolve(),
-          create: () => Promise.resolve(false),
-        },
-        clock: this.clock,
-        log: () => undefined,
-        random: this.random,
-        handleQuarantine: () => undefined,
-      }),
-      () => undefined,
-    );
+    const dispatcher = createDispatcher({
+      instance: `g${gateway}`,
+      zone: 'z',
+      clock: this.clock,
+      random: this.random,
+    });
     const {endpoints, slots} = this.settings;
     const registered = endpoints.map((id, i): [string, Endpoint] => [
       id,
-      {
-        id,
-        service: 's',
-        address: `10.0.0.${i}:80`,
-        zone: 'z',
-        slots,
-        draining: false,
-        coldMs: 0,
-        startedMs: undefined,
-      },
+      registeredEndpoint(id, i, 'z', slots),
     ]);
     dispatcher.handleEndpointChange(new Map(registered), true);
     this.gateways[gateway] = dispatcher;
