Expert placement: failing test of repeated evaluation

A step changes one set, but improveMap then evaluates all sets again. Counting reads keeps the test independent of the machine's speed.

--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -103,6 +103,45 @@
     );
   });
 
+  it('does not evaluate sets again that no step has changed', () => {
+    // A coordinator that plans for a second neither polls nor answers.
+    const sets = 16;
+    const ranks = 24;
+    const map = Array.from({length: sets}, () =>
+      Array.from({length: ranks}, (_, rank) =>
+        Array.from({length: EXPERTS / ranks}, (_, i) => i * ranks + rank),
+      ),
+    );
+    const even = new Array<number>(EXPERTS).fill(1 / EXPERTS);
+    const limits: PlacementLimits = {
+      slotsPerRank: 5,
+      maxNewPerRankAndSet: 2,
+      maxNewPerRank: 2 * sets,
+      minGainPerCopy: 0.01,
+      minSkew: 1.05,
+    };
+    const countReadsOfLastSet = (minGainPerCopy: number) => {
+      let reads = 0;
+      const counted = new Proxy(even, {
+        get(target, key, receiver) {
+          if (typeof key === 'string' && /^\d+$/.test(key)) reads += 1;
+          return Reflect.get(target, key, receiver);
+        },
+      });
+      const demand = map.map((_, set) => {
+        if (set === sets - 1) return counted;
+        return set === 0 ? skewedDemand(1)[0]! : even;
+      });
+      const plan = improveMap(map, demand, {...limits, minGainPerCopy});
+      return {reads, copies: plan?.copies ?? 0};
+    };
+    const oneRound = countReadsOfLastSet(Infinity);
+    const all = countReadsOfLastSet(limits.minGainPerCopy);
+    expect(oneRound.copies).to.equal(0);
+    expect(all.copies).to.be.above(5);
+    expect(all.reads).to.be.at.most(oneRound.reads);
+  });
+
   it('adapts to shifted demand with few copies', () => {
     let map = INITIAL_MAP;
     let copies = 0;
