Refusals count only if they name the request

Each attempt has a connection of its own, so an earlier answer of the same connection cannot arrive. But an answer that named another request, or none, was still accepted if it carried Boragemill-Not-Executed or the status 421. A foreign 421 also took the endpoint out of use.

PROTOCOL.md: runners echo Boragemill-Request-Id in their responses, and the id identifies an extra response. A refusal is therefore accepted only if it names the request, as other answers are; without it, it is unknown whether the request ran. A request without an id may be refused without one (400). Stand-ins of endpoints already echo the id in refusals.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -230,10 +230,7 @@
 
   private handleHead(head: AnswerHead): void {
     const answer = this.deps.headers.readAnswer(head.status, head.headers);
-    if (
-      !isAnswerTo(answer, this.incoming.metadata.requestId) &&
-      !answer.notRun
-    ) {
+    if (!isAnswerTo(answer, this.incoming.metadata.requestId)) {
       this.attempt?.abort();
       return this.handleAttemptEnd('broken', 'answer to another request');
     }
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -124,7 +124,11 @@
   };
 }
 
-/** Whether the answer names the request as its own. */
+/**
+ * Whether the answer names the request as its own. A faulty endpoint may repeat
+ * a refusal of an earlier request, so that a refusal must name it too. A
+ * request without an id is answered without one.
+ */
 export function isAnswerTo(answer: AnswerMetadata, requestId: string): boolean {
-  return answer.requestId === requestId;
+  return (answer.requestId ?? '') === requestId;
 }
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -262,6 +262,47 @@
     expect((await send('/order/1', {body: 'x'})).status).to.equal(502);
   });
 
+  // A faulty endpoint may send an earlier refusal again. Guards against telling
+  // a caller that its request was not run, or running it again elsewhere,
+  // because of a refusal that does not name the request.
+  const foreignRefusals = [
+    {title: 'names another request', status: 503, id: 'other'},
+    {title: 'names no request', status: 503, id: undefined},
+    {title: 'is a 429 to another request', status: 429, id: 'other'},
+    {title: 'is a 421 to another request', status: 421, id: 'other'},
+    {title: 'is a 421 that names no request', status: 421, id: undefined},
+  ];
+  for (const {title, status, id} of foreignRefusals) {
+    it(`does not take a request as not run if the refusal ${title}`, async () => {
+      const repeated = (a: ReceivedRequest, res: http.ServerResponse) => {
+        const name = id === undefined ? '' : `Boragemill-Request-Id: ${id}\r\n`;
+        res.socket!.write(
+          `HTTP/1.1 ${status} Refused\r\n${name}` +
+            'Boragemill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+        );
+        // The endpoint runs the request nevertheless.
+        void answerWith('run')(a, res);
+      };
+      [first.handler, second.handler] = [repeated, repeated];
+      const reply = await send('/order/1', {body: 'x'});
+      expect(arrivals()).to.have.length(1);
+      expect(reply.status).to.equal(502);
+    });
+  }
+
+  it('takes a request without an id as not run if it is refused without one', async () => {
+    const refusal = (a: ReceivedRequest, res: http.ServerResponse) => {
+      res.writeHead(400, {'Boragemill-Not-Executed': '1'});
+      res.end();
+    };
+    [first.handler, second.handler] = [refusal, refusal];
+    const reply = await send('/order/1', {
+      body: 'x',
+      headers: {'Boragemill-Request-Id': ''},
+    });
+    expect(reply.status).to.equal(503);
+  });
+
   it('does not pass on an answer without a length that was reset', async () => {
     // Node counts such an answer as complete if the reset comes with its bytes.
     for (const delayMs of [0, 5, 30]) {
