Sidecar: one connection for each request to its endpoint

A faulty endpoint may send an answer once more on a kept connection. The sidecar took it for the answer to its next request: a caller got another caller's answer, or a repeated 503 ("not run") for a call that the service was running. The answers of neither interface name their request, so a client cannot tell on a kept connection which request an answer belongs to.

`POST /generate` used an agent with kept connections, and plain services were called through Node's global agent, which keeps connections since Node 19. Both now open a connection for each request. `/state` and `/cancel` still use kept connections: no caller's answer depends on one of theirs.

Evidence: against a stand-in that repeats the previous answer of a connection before the next one, both new tests of engine.test.ts fail without the change (the second request got "503 " in place of "200 ran", and the tokens "one" in place of "two") and pass with it (12 tests pass). The cost of the additional connections was not measured.

--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -34,7 +34,6 @@
   | {readonly o: number; readonly t: readonly string[]}
   | {readonly end: true; readonly total: number; readonly finish: string};
 
-const generateAgent = new http.Agent({keepAlive: true, maxSockets: Infinity});
 /** Cancel requests are short, so they share a few connections. */
 const cancelAgent = new http.Agent({keepAlive: true, maxSockets: 8});
 
@@ -81,7 +80,8 @@
   };
   const request = http.request(`${url}/generate`, {
     method: 'POST',
-    agent: generateAgent,
+    // Answers do not name their request, so each has its own connection.
+    agent: false,
     headers: {'content-type': 'application/json'},
   });
   request.on('error', error => fail(error.message));
--- a/src/sidecar/service.ts
+++ b/src/sidecar/service.ts
@@ -2,7 +2,9 @@
  * Runs attempts at a plain service over HTTP.
  *
  * Each attempt is one HTTP call. It is never retried here, because the sidecar
- * cannot know whether a call whose connection broke took effect.
+ * cannot know whether a call whose connection broke took effect. Each call has
+ * its own connection: a faulty service may send an answer twice, and on a kept
+ * connection the second would be taken for the answer to the next call.
  */
 import net from 'node:net';
 import got, {OptionsOfBufferResponseBody, RequestError, Response} from 'got';
@@ -129,6 +131,7 @@
     retry: {limit: 0},
     timeout: {request: CALL_TIMEOUT_MS},
     signal: controller.signal,
+    agent: {http: false, https: false},
     ...(body.length > 0 ? {body: Buffer.from(body)} : {}),
     allowGetBody: true,
   };
--- a/test/engine.test.ts
+++ b/test/engine.test.ts
@@ -6,6 +6,7 @@
 import {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {waitUntil} from '../standins/binaryprocess';
+import {AnswerRequest, RepeatedAnswerStandin} from '../standins/repeatedanswer';
 import {systemClock} from '../src/kernel/clock';
 import {Endpoint, newFrame, Job} from '../src/sidecar/endpoint';
 import {modelEngine} from '../src/sidecar/engine';
@@ -88,7 +89,54 @@
   };
 }
 
+/**
+ * The answers to two calls, one after the other, of an endpoint that sends the
+ * first again.
+ */
+async function answersOf(
+  answer: AnswerRequest,
+  endpointAt: (url: string) => Endpoint,
+): Promise<readonly string[]> {
+  const standin = new RepeatedAnswerStandin(answer);
+  await standin.start();
+  const endpoint = endpointAt(`http://${standin.address}`);
+  const call = (requestId: string) =>
+    new Promise<string>(resolve => {
+      let text = '';
+      const start = {...job.start, requestId, path: `/${requestId}`};
+      endpoint.run(
+        {offer: {...offer, requestId}, start},
+        {
+          frame({status, data, end}) {
+            if (status !== 0) text += `${status} `;
+            text += Buffer.from(data).toString();
+            if (end) resolve(text);
+          },
+          failed: (run, reason) => resolve(`${run}: ${reason}`),
+        },
+      );
+    });
+  try {
+    const first = await call('one');
+    // The client puts a connection back for reuse after the end of the answer.
+    await new Promise(done => setTimeout(done, 20));
+    return [first, await call('two')];
+  } finally {
+    standin.stop();
+  }
+}
+
 describe('answers of a plain service', () => {
+  it('are not taken for the answer to a later call if sent again', async () => {
+    // A repeated 503 would tell a caller that its call, which ran, did not.
+    const answers = await answersOf(
+      path =>
+        path === '/one' ? {status: 503, body: ''} : {status: 200, body: 'ran'},
+      url => plainService(url, systemClock),
+    );
+    expect(answers).to.deep.equal(['503 ', '200 ran']);
+  });
+
   it('without an end are given up before they fill the memory', async () => {
     const maxBytes = 8 * MAX_SENT_BYTES;
     const endless = endlessAnswer(200, maxBytes);
@@ -101,6 +149,20 @@
 });
 
 describe('answers of an engine', () => {
+  it('are not taken for the answer to a later request if sent again', async () => {
+    const answers = await answersOf((_, body) => {
+      const {requestId} = JSON.parse(body) as {requestId: string};
+      const lines = [
+        {cached: 0},
+        {o: 0, t: [requestId]},
+        {end: true, total: 1, finish: 'stop'},
+      ];
+      const text = lines.map(line => `${JSON.stringify(line)}\n`).join('');
+      return {status: 200, body: text};
+    }, modelEngine);
+    expect(answers).to.deep.equal(['one', 'two']);
+  });
+
   it('without an end of line are given up before they fill the memory', async () => {
     const endless = endlessAnswer(200, MAX_SENT_BYTES);
     const failure = await failureOf(endless.write);
