--- a/src/kernel/jsonclient.ts
+++ b/src/kernel/jsonclient.ts
@@ -14,6 +14,12 @@
 
 const MAX_RESPONSE_BYTES = 4_194_304;
 
+/**
+ * `own` opens a connection for one call. A faulty server may send a response
+ * twice; on a kept connection the second is taken for that to the next call.
+ */
+export type CallConnection = 'kept' | 'own';
+
 export class JsonClient {
   private readonly agent = new http.Agent({keepAlive: true, noDelay: true});
 
@@ -24,12 +30,13 @@
     path: string,
     body: unknown,
     timeoutMs: number,
+    connection: CallConnection = 'kept',
   ): Promise<JsonResponse> {
     const portSeparator = address.lastIndexOf(':');
     const requestBody = body === undefined ? undefined : JSON.stringify(body);
     return new Promise((resolve, reject) => {
       const request = http.request({
-        agent: this.agent,
+        agent: connection === 'own' ? false : this.agent,
         host: address.slice(0, portSeparator),
         port: Number(address.slice(portSeparator + 1)),
         method,
--- a/test/rankclient.test.ts
+++ b/test/rankclient.test.ts
@@ -1,5 +1,5 @@
 /**
- * Clients of the ranks of a group.
+ * Clients of the ranks of a group, and of their engines.
  *
  * Guards against a group that stays held because the sidecar of the held rank
  * is frozen: the coordinator must still read its state and send it orders.
@@ -7,6 +7,8 @@
 import http from 'node:http';
 import {AddressInfo} from 'node:net';
 import {expect} from 'chai';
+import {createEngineClient} from '../platform/engineclient';
+import {RepeatedAnswerStandin} from '../standins/repeatedanswer';
 import {systemClock} from '../src/kernel/clock';
 import {JsonClient} from '../src/kernel/jsonclient';
 import {Engine} from '../src/ranks/engine';
@@ -72,3 +74,35 @@
     expect(orders).to.deep.equal([go]);
   });
 });
+
+describe('client of an engine', () => {
+  it('takes no repeated answer for the answer to an order', async () => {
+    // Ranks would begin a pass with different maps if an order to arm were
+    // taken as accepted that the engine refused.
+    const standin = new RepeatedAnswerStandin((path, body) => {
+      if (path !== '/boragemill/order') return {status: 200, body: '{}'};
+      const {op} = JSON.parse(body) as {op: string};
+      return {status: op === 'arm' ? 409 : 202, body: ''};
+    });
+    await standin.start();
+    const caller = new JsonClient();
+    const engine = createEngineClient(standin.address, caller);
+    const ORDER_TIMEOUT_MS = 1_000;
+    const pause = () => new Promise(done => setTimeout(done, 20));
+    try {
+      const arm = {kind: 'arm', version: 2, pass: 9} as const;
+      const hold = {kind: 'hold', pass: 9} as const;
+      const outcomes: string[] = [];
+      await engine.counts().catch(() => undefined);
+      await pause();
+      for (const order of [arm, hold, arm]) {
+        outcomes.push(await engine.order(1, order, ORDER_TIMEOUT_MS));
+        await pause();
+      }
+      expect(outcomes).to.deep.equal(['refused', 'accepted', 'refused']);
+    } finally {
+      caller.close();
+      standin.stop();
+    }
+  });
+});
