Endpoint choice: each gateway uses its share of the free slots

Cause: all gateways act on the same load report, up to a quarter of a second old, and take only endpoints within one request of the lowest. With 43 gateways and 72 endpoints some 50 requests are placed by the same news.

Change: a sidecar divides the free slots of its endpoint among the gateways that subscribe to it, in turns, and each report states the receiver's share. A gateway sends at most that many requests until the next report, and one more for each slot that its own requests free. All others wait at the gateway, where the close of a caller is seen at once; no request is sent beyond the slots.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -41,6 +41,7 @@
   loadEstimate,
   Loads,
   retainLoads,
+  SlotChange,
 } from './endpointload';
 import {EndpointLoad, Prompt} from './model';
 import {retryDelayMs, updateMeanMs, waitLimit} from './waitlimit';
@@ -94,6 +95,15 @@
  */
 const GATEWAYS_VALID_MS = 30_000;
 
+/** What the end of an attempt shows about the endpoint's slots. */
+const SLOT_CHANGES: Readonly<Record<EndpointEvidence, SlotChange>> = {
+  works: 'freed',
+  rejects: 'full',
+  fails: 'unknown',
+  disconnected: 'unknown',
+  none: 'unknown',
+};
+
 export class RequestDispatcher implements Dispatcher {
   private catalog: Catalog = emptyCatalog;
   private loads: Loads = emptyLoads;
@@ -197,7 +207,8 @@
     this.loads = applyReport(this.loads, report, nowMs);
     const {id, limitPerS} = report;
     if (limitPerS !== undefined) this.setLimit(id, limitPerS, 'sidecar');
-    this.serveIfWaiting();
+    // Without a free slot for this gateway the report helps no waiting request.
+    if (report.share !== 0) this.serveIfWaiting();
   }
 
   /** Takes the limit that an answer of the endpoint names, if any. */
@@ -282,9 +293,9 @@
     endpoint: string,
     evidence: EndpointEvidence,
   ): void {
-    this.loads = countFinished(this.loads, endpoint);
+    this.loads = countFinished(this.loads, endpoint, SLOT_CHANGES[evidence]);
     const nowMs = this.clock.elapsedMs();
-    if (evidence === 'works') {
+    if (evidence === 'works' || evidence === 'rejects') {
       this.avoidance = clearFailures(this.avoidance, endpoint);
     } else if (evidence === 'fails' || evidence === 'disconnected') {
       this.avoidance = recordFailure(this.avoidance, endpoint, nowMs);
--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -1,14 +1,21 @@
 /**
  * Chooses the endpoint for a request.
  *
- * Load pattern: several gateways send to the same endpoints, and each sees the
+ * Load pattern: many gateways send to the same endpoints, and each sees the
  * others' requests with a delay. If each took the least loaded endpoint, all
- * would choose the same one at once. The choice is therefore random among the
- * endpoints with nearly the lowest load, and prefers those in the gateway's own
- * zone. The ranks of a group wait for each other in every pass, so an even
- * spread over the ranks also keeps the passes short. Requests on a slow rank
- * slow down the whole group, so it gets new ones only if no other endpoint has
- * room.
+ * would choose the same one at once. A gateway therefore uses its share of the
+ * slots that a report shows as free (`endpointload.ts`), and requests for which
+ * there is none wait at the gateway, where the close of a caller is seen at
+ * once, and not in an endpoint's queue. Among the endpoints with a share the
+ * choice is random between those with nearly the lowest load, and prefers those
+ * in the gateway's own zone. The ranks of a group wait for each other in every
+ * pass, so an even spread over the ranks also keeps the passes short. Requests
+ * on a slow rank slow down the whole group, so it gets new ones only if no other
+ * endpoint has room.
+ *
+ * Where few endpoints serve many gateways, a share is often less than one
+ * request. While most endpoints are at most half full, these may be used without
+ * one: the load is low then, and requests without a share are spread over them.
  *
  * An endpoint whose reports have stopped may be on a machine that has stopped.
  * It cannot see that callers leave, and to a gateway that only counts its own
@@ -19,6 +26,7 @@
 import {Registration} from './catalog';
 import {
   estimatedRequests,
+  hasAllowance,
   isGroupOpen,
   isSilent,
   isSlow,
@@ -44,11 +52,8 @@
   /** No endpoint is registered, or the groups of all are broken. */
   | {readonly kind: 'none'};
 
-/**
- * Requests that an endpoint may have beyond its slots, so that a freed slot is
- * used without waiting for a round trip.
- */
-const MAX_REQUESTS_BEYOND_SLOTS = 1;
+/** Part of its slots up to which an endpoint may be used without a share. */
+const MAX_FILL_WITHOUT_SHARE = 0.5;
 
 /** Endpoints within this many requests of the least loaded count as equal. */
 const NEARLY_EQUAL_REQUESTS = 1;
@@ -68,18 +73,22 @@
   const usable = [notAvoided, reporting, untried, open].find(
     list => list.length > 0,
   )!;
-  const available = usable.filter(
+  const withRoom = usable.filter(
     e =>
-      estimatedRequests(loads, e.id, nowMs) <
-        e.slots + MAX_REQUESTS_BEYOND_SLOTS && context.withinRate(e),
+      estimatedRequests(loads, e.id, nowMs) < e.slots && context.withinRate(e),
   );
-  if (available.length === 0) return {kind: 'full'};
-  const notSlow = available.filter(e => !isSlow(loads, e.id, nowMs));
-  const endpoint = leastLoaded(
-    notSlow.length > 0 ? notSlow : available,
-    context,
+  const notSlow = withRoom.filter(e => !isSlow(loads, e.id, nowMs));
+  const available = notSlow.length > 0 ? notSlow : withRoom;
+  const allowed = available.filter(e => hasAllowance(loads, e.id, nowMs));
+  if (allowed.length > 0) {
+    return {kind: 'endpoint', endpoint: leastLoaded(allowed, context)};
+  }
+  const halfEmpty = available.filter(
+    e =>
+      estimatedRequests(loads, e.id, nowMs) <= e.slots * MAX_FILL_WITHOUT_SHARE,
   );
-  return {kind: 'endpoint', endpoint};
+  if (halfEmpty.length <= usable.length / 2) return {kind: 'full'};
+  return {kind: 'endpoint', endpoint: pickOne(halfEmpty, context.random)};
 }
 
 /** If most endpoints are silent, the reports are at fault and not they. */
@@ -101,6 +110,9 @@
   const limit = Math.min(...counts) + NEARLY_EQUAL_REQUESTS;
   const near = endpoints.filter((_, i) => counts[i]! <= limit);
   const own = near.filter(e => e.zone === zone);
-  const among = own.length > 0 ? own : near;
+  return pickOne(own.length > 0 ? own : near, random);
+}
+
+function pickOne<T>(among: readonly T[], random: () => number): T {
   return among[Math.floor(random() * among.length)]!;
 }
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -1,9 +1,17 @@
 /**
- * This gateway's estimate of the load of each endpoint.
+ * This gateway's estimate of the load of each endpoint, and its share of the
+ * free slots.
  *
  * A sidecar's report counts the requests of all gateways, but is a few hundred
  * milliseconds old. The number of this gateway's requests in flight is exact.
  * The estimate is its own requests now plus the others' at the last report.
+ *
+ * All gateways act on the same report. If each used every slot that it shows as
+ * free, the requests of all would exceed the slots and wait in the endpoint's
+ * queue. The report therefore states a share of the free slots for each gateway
+ * (`slotshares.ts`), which is its allowance until the next report. A slot that one
+ * of its own requests frees adds to the allowance, because no other gateway
+ * knows of it yet.
  */
 import {Map} from 'immutable';
 import {EndpointLoad} from './model';
@@ -20,6 +28,8 @@
   readonly pace: number;
   /** Time of the last report. */
   readonly reportedMs: number;
+  /** Requests that this gateway may send until the next report. */
+  readonly allowance: number;
 }
 
 export type Loads = Map<string, Load>;
@@ -40,18 +50,38 @@
   open: true,
   pace: 1,
   reportedMs: -Infinity,
+  allowance: 0,
 };
 
 export const emptyLoads: Loads = Map();
 
 export function countSent(loads: Loads, id: string): Loads {
   const load = loads.get(id, UNKNOWN_LOAD);
-  return loads.set(id, {...load, own: load.own + 1});
+  const allowance = Math.max(0, load.allowance - 1);
+  return loads.set(id, {...load, own: load.own + 1, allowance});
 }
 
-export function countFinished(loads: Loads, id: string): Loads {
+/** How an attempt leaves the slots of its endpoint. */
+export type SlotChange =
+  /** The endpoint worked on the request and now has a free slot. */
+  | 'freed'
+  /** The endpoint rejected the request, so it has no free slot. */
+  | 'full'
+  | 'unknown';
+
+export function countFinished(
+  loads: Loads,
+  id: string,
+  change: SlotChange,
+): Loads {
   const load = loads.get(id, UNKNOWN_LOAD);
-  return loads.set(id, {...load, own: Math.max(0, load.own - 1)});
+  const own = Math.max(0, load.own - 1);
+  const allowances = {
+    freed: load.allowance + 1,
+    full: 0,
+    unknown: load.allowance,
+  };
+  return loads.set(id, {...load, own, allowance: allowances[change]});
 }
 
 export function applyReport(
@@ -62,10 +92,17 @@
   const {own} = loads.get(report.id, UNKNOWN_LOAD);
   const others = Math.max(0, report.running + report.queued - own);
   const {group, open, pace} = report;
-  const load = {own, others, group, open, pace, reportedMs: nowMs};
+  const allowance = report.share ?? Infinity;
+  const load = {own, others, group, open, pace, reportedMs: nowMs, allowance};
   return loads.set(report.id, load);
 }
 
+/** Whether this gateway may send one more request to the endpoint. */
+export function hasAllowance(loads: Loads, id: string, nowMs: number): boolean {
+  if (!hasFreshReport(loads, id, nowMs)) return true;
+  return loads.get(id, UNKNOWN_LOAD).allowance >= 1;
+}
+
 /** What a gateway assumed about an endpoint's load when it sent a request. */
 export interface LoadEstimate {
   readonly requests: number;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -46,6 +46,8 @@
 /** What an attempt shows about its endpoint. */
 export type EndpointEvidence =
   | 'works'
+  /** It answers, but has not taken the request. */
+  | 'rejects'
   | 'fails'
   /** It fails: the connection ended before the answer was complete. */
   | 'disconnected'
@@ -84,6 +86,13 @@
   readonly clock: Clock;
 }
 
+const EVIDENCE: Readonly<Record<AttemptOutcome, EndpointEvidence>> = {
+  notRun: 'rejects',
+  failed: 'works',
+  unsent: 'fails',
+  broken: 'fails',
+};
+
 /** Statuses that tell a caller that its request was not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -324,9 +333,7 @@
   private handleAttemptEnd(
     outcome: AttemptOutcome,
     reason: string,
-    evidence: EndpointEvidence = outcome === 'failed' || outcome === 'notRun'
-      ? 'works'
-      : 'fails',
+    evidence: EndpointEvidence = EVIDENCE[outcome],
   ): void {
     if (this.over || !this.endpoint) return;
     this.recordAttempt(outcome, reason);
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -1,18 +1,20 @@
 /**
  * Load reports from sidecars to gateways, over UDP.
  *
- * Every two seconds a gateway subscribes to the sidecar of each endpoint. A
- * sidecar sends its endpoint's load to the current subscribers, together with
- * their number, by which they divide shared limits. Lost datagrams are not
+ * Every two seconds a gateway subscribes to the sidecar of each endpoint and
+ * states the endpoint's slots, which a sidecar does not follow by itself. A
+ * sidecar sends its endpoint's load to the current subscribers, each with a share
+ * of the free slots and the number of subscribers, by which they divide other
+ * limits. Lost datagrams are not
  * resent; the next one replaces them. A sidecar that finds no process at its
  * endpoint's address tells the subscribers so a few times. Only gateways see the
  * limit that an endpoint names in its answers; they send it to its sidecar, which
  * reports it with the load.
  */
-import dgram from 'node:dgram';
-import * as z from 'zod';
 import {Clock, repeatEvery, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
+import {DatagramSocket, Peer} from './datagrams';
+import {divideSlots} from './slotshares';
 
 export interface LoadReport {
   /** Address of the endpoint, an `IP:port`. */
@@ -26,27 +28,10 @@
   readonly gateways: number;
   /** The limit that a gateway saw last; 0 if none, undefined if unknown. */
   readonly limitPerS?: number;
+  /** Free slots that the receiver may fill; undefined if unknown. */
+  readonly share?: number;
 }
 
-const messageSchema = z.discriminatedUnion('kind', [
-  z.object({kind: z.literal('subscribe')}),
-  z.object({
-    kind: z.literal('load'),
-    address: z.string(),
-    running: z.number().min(0),
-    queued: z.number().min(0),
-    group: z.string(),
-    open: z.boolean(),
-    pace: z.number().positive(),
-    gateways: z.number().int().min(0),
-    limitPerS: z.number().min(0).optional(),
-  }),
-  z.object({kind: z.literal('limit'), limitPerS: z.number().min(0)}),
-  z.object({kind: z.literal('gone'), address: z.string()}),
-]);
-
-type Message = z.infer<typeof messageSchema>;
-
 /** Interval between subscriptions, in milliseconds. */
 const SUBSCRIBE_INTERVAL_MS = 2_000;
 /** Three subscriptions may be lost before a gateway is dropped. */
@@ -56,63 +41,14 @@
 /** Times that subscribers are told that an endpoint's process is gone. */
 const GONE_REPEATS = 3;
 
-export interface Peer {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** A UDP socket for messages between gateways and sidecars. */
-export class DatagramSocket {
-  private readonly socket = dgram.createSocket('udp4');
-
-  constructor(
-    private readonly handle: (message: Message, from: Peer) => void,
-    private readonly log: Log,
-  ) {
-    this.socket.on('message', (bytes, {address: host, port}) => {
-      const read = parseMessage(bytes);
-      if (read) this.handle(read, {host, port});
-      else
-        this.log('debug', 'datagram dropped: not a valid message', {
-          host,
-          port,
-        });
-    });
-    this.socket.on('error', error =>
-      this.log('warn', 'datagram socket failed', {reason: error.message}),
-    );
-  }
-
-  listen({host, port}: Peer): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.socket.once('error', reject);
-      this.socket.bind(port, host, resolve);
-    });
-  }
-
-  send(body: Message, {host, port}: Peer): void {
-    this.socket.send(JSON.stringify(body), port, host, error => {
-      if (!error) return;
-      this.log('debug', 'datagram not sent', {host, reason: error.message});
-    });
-  }
-
-  close(): void {
-    this.socket.close();
-  }
-}
-
-function parseMessage(bytes: Buffer): Message | undefined {
-  try {
-    return messageSchema.parse(JSON.parse(bytes.toString()));
-  } catch {
-    return undefined;
-  }
-}
-
 /** Interval at which a gateway repeats an unchanged limit, in milliseconds. */
 const LIMIT_REPEAT_MS = 1_000;
 
+export interface EndpointHost {
+  readonly host: string;
+  readonly slots: number;
+}
+
 /** The gateway's side: subscribes to all sidecars and passes on reports. */
 export class LoadSubscriber {
   private timer: Timer | undefined;
@@ -126,8 +62,8 @@
   constructor(
     private readonly deps: {
       readonly self: Peer;
-      /** Hosts on which sidecars may run. */
-      readonly hosts: () => readonly string[];
+      /** Endpoints that may have a sidecar. */
+      readonly endpoints: () => readonly EndpointHost[];
       readonly handleReport: (report: LoadReport) => void;
       /** No process listens at this endpoint's address. */
       readonly handleProcessGone: (address: string) => void;
@@ -166,8 +102,8 @@
 
   private subscribe(): void {
     const {port} = this.deps.self;
-    for (const host of this.deps.hosts()) {
-      this.datagrams.send({kind: 'subscribe'}, {host, port});
+    for (const {host, slots} of this.deps.endpoints()) {
+      this.datagrams.send({kind: 'subscribe', slots}, {host, port});
     }
   }
 }
@@ -182,6 +118,10 @@
   private lastSent = {load: '', atMs: -Infinity};
   private goneSent = 0;
   private limitPerS: number | undefined;
+  /** Slots of the endpoint; undefined before the first subscription. */
+  private slots: number | undefined;
+  /** Index of the subscriber whose turn for a free slot is next. */
+  private turn = 0;
 
   constructor(
     private readonly self: Peer,
@@ -191,6 +131,7 @@
     this.datagrams = new DatagramSocket((body, from) => {
       if (body.kind === 'limit') this.limitPerS = body.limitPerS;
       if (body.kind !== 'subscribe') return;
+      this.slots = body.slots ?? this.slots;
       const subscribedMs = this.clock.elapsedMs();
       this.subscribers.set(from.host, {...from, subscribedMs});
     }, log);
@@ -204,7 +145,7 @@
     this.datagrams.close();
   }
 
-  publish(report: Omit<LoadReport, 'gateways' | 'limitPerS'>): void {
+  publish(report: Omit<LoadReport, 'gateways' | 'limitPerS' | 'share'>): void {
     this.goneSent = 0;
     const nowMs = this.clock.elapsedMs();
     const {running, queued, open, pace} = report;
@@ -218,9 +159,18 @@
         this.subscribers.delete(host);
     }
     const gateways = this.subscribers.size;
-    for (const peer of this.subscribers.values()) {
-      this.datagrams.send({kind: 'load', ...report, gateways, limitPerS}, peer);
-    }
+    const {slots} = this;
+    const {shares, nextTurn} = divideSlots(
+      (slots ?? 0) - running - queued,
+      gateways,
+      this.turn,
+    );
+    this.turn = nextTurn;
+    [...this.subscribers.values()].forEach((peer, i) => {
+      const share = slots === undefined ? undefined : shares[i];
+      const load = {...report, gateways, limitPerS, share};
+      this.datagrams.send({kind: 'load', ...load}, peer);
+    });
   }
 
   /** Tells the subscribers that no process listens at the address. */
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -162,4 +162,9 @@
    * no limit, undefined if the sidecar does not know.
    */
   readonly limitPerS: number | undefined;
+  /**
+   * Requests that this gateway may send until the next report; undefined if the
+   * sidecar does not know the endpoint's slots.
+   */
+  readonly share: number | undefined;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -18,7 +18,11 @@
 import {RequestDispatcher} from './gateway/dispatcher';
 import {Exchange} from './gateway/exchange';
 import {CallerServer} from './gateway/callerserver';
-import {LoadPublisher, LoadSubscriber} from './gateway/loadreports';
+import {
+  EndpointHost,
+  LoadPublisher,
+  LoadSubscriber,
+} from './gateway/loadreports';
 import {listenAt, createReadinessServer} from './gateway/readiness';
 import {TableWatch} from './gateway/tablewatch';
 import {Clock, repeatEvery, systemClock, Timer} from './kernel/clock';
@@ -206,14 +210,19 @@
   );
   const loadSubscriber: LoadSubscriber = new LoadSubscriber({
     self: {host: ip, port: peerPort},
-    hosts: () => modelEndpointHosts(dispatcher),
+    endpoints: () => modelEndpoints(dispatcher),
     handleReport: report => {
       const found = dispatcher
         .currentCatalog()
         .endpoints.find(e => e.address === report.address);
       if (found)
         dispatcher.handleLoadReport(
-          {...report, id: found.id, limitPerS: report.limitPerS},
+          {
+            ...report,
+            id: found.id,
+            limitPerS: report.limitPerS,
+            share: report.share,
+          },
           report.gateways,
         );
     },
@@ -276,14 +285,17 @@
   return address.slice(0, address.indexOf(':'));
 }
 
-/** Hosts of endpoints that may have a sidecar: those of model engines. */
-function modelEndpointHosts(dispatcher: RequestDispatcher): readonly string[] {
+/** Endpoints that may have a sidecar: those of model engines, one per host. */
+function modelEndpoints(
+  dispatcher: RequestDispatcher,
+): readonly EndpointHost[] {
   const {endpoints, services} = dispatcher.currentCatalog();
-  const hosts = endpoints
-    .valueSeq()
-    .filter(e => services.get(e.service)?.engine !== undefined)
-    .map(e => hostOf(e.address));
-  return [...new Set(hosts)];
+  const hosts = new Map<string, EndpointHost>();
+  for (const {address, service, slots} of endpoints.values()) {
+    if (services.get(service)?.engine === undefined) continue;
+    hosts.set(hostOf(address), {host: hostOf(address), slots});
+  }
+  return [...hosts.values()];
 }
 
 /** The program beside a model endpoint. */
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -181,6 +181,7 @@
         open: true,
         pace: 1,
         limitPerS: undefined,
+        share: undefined,
         ...load,
       };
       this.gateways.forEach((dispatcher, i) =>
