Dispatcher: one poll of waiting requests, not one for each event

Under overload gateways spent most of their processor time on the choice of endpoints for requests that could not be served.

Cause: each event that served the queues (a report, an answer, a new request) began a chain of polls of its own, which lasted until no request waited. Each choice also searched the endpoints of all services.

Change: at most one poll is scheduled, and the endpoints of a service are indexed once for each version of the catalog.

--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -198,8 +198,8 @@
 ): readonly Registration[] {
   const serving: Registration[] = [];
   const lapsed: Registration[] = [];
-  for (const endpoint of catalog.endpoints.values()) {
-    if (endpoint.service !== service || endpoint.draining) continue;
+  for (const endpoint of endpointsByService(catalog).get(service) ?? []) {
+    if (endpoint.draining) continue;
     if (catalog.zonesOut.has(endpoint.zone)) continue;
     if (endpoint.excludedUntilMs > nowMs) continue;
     if (endpoint.goneSinceMs === undefined) serving.push(endpoint);
@@ -208,3 +208,24 @@
   }
   return serving.length > 0 ? serving : lapsed;
 }
+
+type ServiceEndpoints = ReadonlyMap<string, readonly Registration[]>;
+
+/**
+ * The endpoints of each service for each value of `endpoints`. A gateway asks for
+ * them hundreds of times a second, and they change every few seconds.
+ */
+const endpointIndexes = new WeakMap<Catalog['endpoints'], ServiceEndpoints>();
+
+function endpointsByService({endpoints}: Catalog): ServiceEndpoints {
+  const known = endpointIndexes.get(endpoints);
+  if (known) return known;
+  const index = new globalThis.Map<string, Registration[]>();
+  for (const endpoint of endpoints.values()) {
+    const ofService = index.get(endpoint.service);
+    if (ofService) ofService.push(endpoint);
+    else index.set(endpoint.service, [endpoint]);
+  }
+  endpointIndexes.set(endpoints, index);
+  return index;
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -121,6 +121,7 @@
   /** Requests that have not ended. */
   private readonly active = new Set<Exchange>();
   private serveScheduled = false;
+  private pollScheduled = false;
 
   constructor(
     private readonly settings: DispatcherSettings,
@@ -438,7 +439,17 @@
     this.clock.after(0, () => {
       this.serveScheduled = false;
       for (const service of this.queues.keys()) this.serveQueue(service);
-      this.clock.after(QUEUE_POLL_MS, () => this.serveIfWaiting());
+      this.schedulePoll();
+    });
+  }
+
+  /** Only one poll is scheduled, however many events have served the queues. */
+  private schedulePoll(): void {
+    if (this.pollScheduled) return;
+    this.pollScheduled = true;
+    this.clock.after(QUEUE_POLL_MS, () => {
+      this.pollScheduled = false;
+      this.serveIfWaiting();
     });
   }
 
