Table watch: a pause after changes, so that a poll brings many of them

Cause: a poll is answered at the first change. When 75 endpoints register within some seconds, each of 43 entries polls again for each of them.

Change: after a poll that brought changes the next one waits for 250 ms. The first change after a quiet time arrives as soon as before.

--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -41,6 +41,11 @@
 const INITIAL_BACKOFF_MS = 100;
 /** Limit of the backoff; polls must resume well before keys are refused. */
 const MAX_BACKOFF_MS = 400;
+/**
+ * Pause after a poll that brought changes. When many rows change, as at a start
+ * of all processes, a poll then brings many of them, not one each.
+ */
+const CHANGE_PAUSE_MS = 250;
 /** Interval at which `shouldPoll` is checked while it is false, in ms. */
 const PAUSED_CHECK_INTERVAL_MS = 200;
 
@@ -67,8 +72,9 @@
         continue;
       }
       try {
-        await this.poll();
+        const changed = await this.poll();
         this.recordSuccess();
+        if (changed) await this.sleep(CHANGE_PAUSE_MS);
       } catch (error) {
         if (this.stopped) return;
         if (error instanceof HistoryGoneError) {
@@ -90,13 +96,14 @@
     this.stopped = true;
   }
 
-  private async poll(): Promise<void> {
+  /** Returns whether rows have changed since the last poll. */
+  private async poll(): Promise<boolean> {
     const sentMs = this.clock.elapsedMs();
     if (this.version === undefined) {
       const {change, version} = await this.table.read();
       this.version = version;
       this.follower.handleChange(change, true, sentMs);
-      return;
+      return false;
     }
     const {change, version} = await this.table.changes(
       this.version,
@@ -111,6 +118,7 @@
     const asOfMs = sentMs + Math.min(waitedMs, this.waitMs);
     if (changed) this.follower.handleChange(change, false, asOfMs);
     else this.follower.handleNoChange(asOfMs);
+    return changed;
   }
 
   private recordSuccess(): void {
