Coordination: a sign of life of its own, and polls that fit the link

Cause: a coordinator counted as lost when it had not polled a rank for 0.6 s, and its polls filled the link of its machine. An answer with 16 sets of 96 counts is about 7 kB as JSON; 24 of them take 0.25 s of a link of 5.6 Mbit/s, and every five seconds all 72 endpoints were asked, those of other groups too. Late answers had their sidecars bypassed for a second, which then heard nothing. Coordinators that took over cancelled the changes of the live one while the group was held. A poll by another group's coordinator counted as a sign as well, so that no rank took over when the coordinator was really lost.

Change: - A leading coordinator sends a datagram to the ranks of its group every 150 ms. Heartbeats and polls name the group. - Before a rank takes over it asks the others whether one of them is leading. - A sidecar answers with the choices since it was last asked, packed (2 kB), only to the coordinator of its own group, and with its experts only when they have changed. Maps in orders are packed too, and an order to prepare is not repeated while it is in flight. - A rank that has just started waits for a sign before it leads.

--- a/src/gateway/datagrams.ts
+++ b/src/gateway/datagrams.ts
@@ -1,5 +1,5 @@
 /**
- * Datagrams between gateways and sidecars.
+ * Datagrams between gateways and sidecars, and among sidecars.
  *
  * They carry news that the next datagram replaces, so lost ones are not resent.
  * A datagram that is not a valid message is dropped.
@@ -27,6 +27,11 @@
   }),
   z.object({kind: z.literal('limit'), limitPerS: z.number().min(0)}),
   z.object({kind: z.literal('gone'), address: z.string()}),
+  z.object({
+    kind: z.literal('heartbeat'),
+    group: z.string(),
+    rank: z.number().int().min(0),
+  }),
 ]);
 
 type Message = z.infer<typeof messageSchema>;
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -9,11 +9,12 @@
  * resent; the next one replaces them. A sidecar that finds no process at its
  * endpoint's address tells the subscribers so a few times. Only gateways see the
  * limit that an endpoint names in its answers; they send it to its sidecar, which
- * reports it with the load.
+ * reports it with the load. The heartbeats of coordinators use the same sockets.
  */
 import {Clock, repeatEvery, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {DatagramSocket, Peer} from './datagrams';
+import {Heartbeat} from '../ranks/rank';
 import {divideSlots} from './slotshares';
 
 export interface LoadReport {
@@ -127,8 +128,10 @@
     private readonly self: Peer,
     private readonly clock: Clock,
     log: Log,
+    handleHeartbeat: (heartbeat: Heartbeat) => void = () => undefined,
   ) {
     this.datagrams = new DatagramSocket((body, from) => {
+      if (body.kind === 'heartbeat') handleHeartbeat(body);
       if (body.kind === 'limit') this.limitPerS = body.limitPerS;
       if (body.kind !== 'subscribe') return;
       this.slots = body.slots ?? this.slots;
@@ -173,6 +176,14 @@
     });
   }
 
+  /** Sends a coordinator's heartbeat to the sidecars on the hosts. */
+  sendHeartbeat(hosts: readonly string[], heartbeat: Heartbeat): void {
+    const {port} = this.self;
+    for (const host of hosts) {
+      this.datagrams.send({kind: 'heartbeat', ...heartbeat}, {host, port});
+    }
+  }
+
   /** Tells the subscribers that no process listens at the address. */
   publishProcessGone(address: string): void {
     this.limitPerS = undefined;
--- a/src/ranks/agent.ts
+++ b/src/ranks/agent.ts
@@ -10,7 +10,14 @@
 import {Clock} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {Engine} from './engine';
-import {RankExperts, RankOrder, RankReport, RankState} from './rank';
+import {packChoices, PackedChoices, unpackMap} from './packing';
+import {
+  CoordinatorRole,
+  Heartbeat,
+  RankExperts,
+  RankOrder,
+  RankReport,
+} from './rank';
 
 export const STATE_PATH = '/state';
 export const ORDER_PATH = '/orders';
@@ -29,7 +36,7 @@
   z.object({
     kind: z.literal('prepare'),
     version,
-    map: z.array(z.array(z.array(z.number().int().min(0)))),
+    map: z.string().transform(unpackMap),
   }),
   z.object({kind: z.literal('arm'), version, pass}),
   z.object({kind: z.literal('disarm'), version}),
@@ -39,10 +46,59 @@
 
 const requestSchema = z.object({epoch: z.number(), order: orderSchema});
 
+/** What a coordinator asks a sidecar for, besides the rank's report. */
+export interface StateQuery {
+  /** The coordinator that asks; asking is a sign of life. */
+  readonly coordinator: Heartbeat;
+  readonly withChoices: boolean;
+  /** Key of the map whose experts the coordinator knows already. */
+  readonly knownMap: string | undefined;
+}
+
+/** Identifies the experts of a rank: they differ between any two keys. */
+export function rankMapKey({group, epoch, rank, map}: RankReport): string {
+  return `${group} ${epoch} ${rank} ${map}`;
+}
+
+/** The answer to a state query, as it is sent. */
+export interface StateAnswer extends RankReport, CoordinatorRole {
+  /** Absent if the coordinator knows them. */
+  readonly experts?: RankExperts;
+  readonly choices?: PackedChoices;
+}
+
+/** The path and query that ask a sidecar for its rank's state. */
+export function statePath({
+  coordinator,
+  withChoices,
+  knownMap,
+}: StateQuery): string {
+  const {group, rank} = coordinator;
+  const parameters = new URLSearchParams({group, coordinator: String(rank)});
+  if (withChoices) parameters.set('choices', '1');
+  if (knownMap !== undefined) parameters.set('known', knownMap);
+  return `${STATE_PATH}?${parameters}`;
+}
+
+function readStateQuery(parameters: URLSearchParams): StateQuery {
+  return {
+    coordinator: {
+      group: parameters.get('group') ?? '',
+      rank: Number(parameters.get('coordinator') ?? Infinity),
+    },
+    withChoices: parameters.has('choices'),
+    knownMap: parameters.get('known') ?? undefined,
+  };
+}
+
 export class RankAgent {
-  /** When a coordinator of a lower rank last requested the state. */
-  private lastPolledMs = -Infinity;
+  /** When a coordinator of a lower rank last gave a sign of life. */
+  private lastSignMs: number;
   private rank = 0;
+  private group: string | undefined;
+  private role: CoordinatorRole = {leading: false, holding: false};
+  /** The engine's counts when a coordinator last asked for the choices. */
+  private lastCounts: {epoch: number; counts: readonly number[]} | undefined;
   private cachedExperts:
     {version: number; epoch: number; experts: RankExperts} | undefined;
 
@@ -50,23 +106,49 @@
     private readonly engine: Engine,
     private readonly clock: Clock,
     private readonly log: Log,
-  ) {}
+  ) {
+    // A rank that has just started does not know whether another one leads.
+    this.lastSignMs = clock.elapsedMs();
+  }
+
+  /**
+   * Time since a coordinator of a lower rank last gave a sign of life: a
+   * heartbeat, or a request for the state.
+   */
+  msSinceLastSign(): number {
+    return this.clock.elapsedMs() - this.lastSignMs;
+  }
+
+  /** Records a sign of life of a coordinator. */
+  recordSign({group, rank}: Heartbeat): void {
+    const isOfLowerRank = group === this.group && rank < this.rank;
+    if (isOfLowerRank) this.lastSignMs = this.clock.elapsedMs();
+  }
 
-  /** Time since a coordinator of a lower rank last requested the state. */
-  msSinceLastPoll(): number {
-    return this.clock.elapsedMs() - this.lastPolledMs;
+  /** Sets what this sidecar's coordinator does, which others are told. */
+  setRole(role: CoordinatorRole): void {
+    this.role = role;
   }
 
   async report(): Promise<RankReport> {
     const report = await this.engine.report();
     this.rank = report.rank;
+    this.group = report.group;
     return report;
   }
 
-  /** Reads the rank's state; `counts` is empty unless `withCounts` is set. */
-  async state(withCounts: boolean): Promise<RankState> {
+  async state({withChoices, knownMap}: StateQuery): Promise<StateAnswer> {
     const report = await this.report();
-    const {map, epoch} = report;
+    const answer: StateAnswer = {
+      ...report,
+      ...this.role,
+      choices: withChoices ? await this.choices(report.epoch) : undefined,
+    };
+    if (knownMap === rankMapKey(report)) return answer;
+    return {...answer, experts: await this.experts(report)};
+  }
+
+  private async experts({epoch, map}: RankReport): Promise<RankExperts> {
     if (
       this.cachedExperts?.version !== map ||
       this.cachedExperts.epoch !== epoch
@@ -77,8 +159,19 @@
         throw new Error('expert map changed between two reads');
       this.cachedExperts = {version: map, epoch, experts};
     }
-    const counts = withCounts ? await this.engine.counts() : [];
-    return {...report, experts: this.cachedExperts.experts, counts};
+    return this.cachedExperts.experts;
+  }
+
+  /** Choices since the last call; undefined at the first one of an epoch. */
+  private async choices(epoch: number): Promise<PackedChoices | undefined> {
+    const counts = await this.engine.counts();
+    const last = this.lastCounts;
+    this.lastCounts = {epoch, counts};
+    if (last?.epoch !== epoch || last.counts.length !== counts.length)
+      return undefined;
+    return packChoices(
+      counts.map((count, i) => Math.max(0, count - last.counts[i]!)),
+    );
   }
 
   order(epoch: number, order: RankOrder) {
@@ -88,9 +181,9 @@
   handle(req: http.IncomingMessage, res: http.ServerResponse): void {
     const {pathname, searchParams} = new URL(req.url ?? '/', 'http://peer');
     if (req.method === 'GET' && pathname === STATE_PATH) {
-      const coordinator = Number(searchParams.get('coordinator') ?? Infinity);
-      if (coordinator < this.rank) this.lastPolledMs = this.clock.elapsedMs();
-      this.state(searchParams.has('counts')).then(
+      const query = readStateQuery(searchParams);
+      this.recordSign(query.coordinator);
+      this.state(query).then(
         state => sendJson(res, 200, state),
         (error: unknown) => {
           this.log('debug', 'rank state unavailable', {reason: String(error)});
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -2,11 +2,14 @@
  * Background task that balances the load of a group of ranks.
  *
  * Each sidecar runs one. The coordinator of the lowest rank that is alive
- * leads: it polls the other sidecars and changes the expert map. Another takes
- * over when no coordinator of a lower rank has polled it for a while. Two
- * leading coordinators do no harm, because `decideChange` allows for them.
+ * leads: it polls the other sidecars and changes the expert map. A leading
+ * coordinator sends heartbeats, which do not wait for polls, plans or orders.
+ * Another takes over when no coordinator of a lower rank has given a sign of
+ * life for a while and none of them says, when asked, that it leads. Two leading
+ * coordinators do no harm, because `decideChange` allows for them, but each of
+ * them cancels what the other has begun while the group is held.
  */
-import {Clock, Timer} from '../kernel/clock';
+import {Clock, repeatEvery, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {RankAgent} from './agent';
 import {decideChange, mayBeginChange} from './mapchange';
@@ -20,7 +23,7 @@
 import {MapDimensions, mapInUse} from './mapinuse';
 import {RankClient} from './rankclient';
 import {improveMap, PlacementLimits} from './placement';
-import {RankMap, RankReport, RankState} from './rank';
+import {Heartbeat, RankMap, RankReport, RankState} from './rank';
 
 export interface ExpertLimits extends PlacementLimits, MapDimensions {
   /** Time that a rank needs to copy one expert. */
@@ -33,6 +36,11 @@
   readonly addresses: () => readonly string[];
   /** Creates a client of the rank at an address. */
   readonly clientFor: (address: string) => RankClient;
+  /** Sends a heartbeat to the sidecars of the endpoints at these addresses. */
+  readonly sendHeartbeat: (
+    addresses: readonly string[],
+    heartbeat: Heartbeat,
+  ) => void;
   /** Undefined until the configuration is known. */
   readonly limits: () => ExpertLimits | undefined;
   readonly clock: Clock;
@@ -44,12 +52,23 @@
 const DEMAND_READ_INTERVAL_MS = 400;
 /** Interval between steps, and between polls while a change is in progress. */
 const POLL_INTERVAL_MS = 60;
+/** Interval between the heartbeats of a leading coordinator. */
+const HEARTBEAT_INTERVAL_MS = 150;
 /**
- * Time without a poll after which the next rank takes over. A leading
- * coordinator polls at least every `DEMAND_READ_INTERVAL_MS`. It may be lost
- * while the group is held, and callers give up after two seconds.
+ * Time without a sign of life after which the next rank takes over; three
+ * heartbeats may be lost. A coordinator may be lost while the group is held, and
+ * callers give up after two seconds.
  */
 const TAKEOVER_TIMEOUT_MS = 600;
+/**
+ * Time for which an answer shows that a coordinator is alive: until the next
+ * answer is due.
+ */
+const ALIVE_AFTER_ANSWER_MS = 500;
+/** Timeout of orders that the group does not wait for. */
+const PREPARE_ORDER_TIMEOUT_MS = 500;
+/** Timeout of orders while the group may be held. */
+const ORDER_TIMEOUT_MS = 200;
 /**
  * Longest wait for the reports of one poll; later ones are used as they
  * arrive. The limit is short because a frozen instance that left its group held
@@ -66,10 +85,18 @@
   readonly polledMs: number;
 }
 
+interface PolledState extends RankState {
+  readonly polledMs: number;
+}
+
 export class Coordinator {
   private change: ChangeState | undefined;
   private demand: Demand | undefined;
-  private readonly states = new Map<number, RankState>();
+  private readonly states = new Map<number, PolledState>();
+  /** What ranks have chosen since the demand was last updated. */
+  private choices: (readonly number[])[] = [];
+  /** Ranks whose order to prepare is in flight. */
+  private readonly preparingRanks = new Set<number>();
   private readonly clients = new Map<number, RankClient>();
   private readonly groupByAddress = new Map<string, AddressGroup>();
   private readonly clientByAddress = new Map<string, RankClient>();
@@ -78,18 +105,27 @@
   private lastDemandReadMs = -Infinity;
   /** Earliest time at which the ranks can have copied the ordered experts. */
   private copyEndMs = -Infinity;
+  /** When this coordinator last released the group. */
+  private releasedMs = -Infinity;
   private leading = false;
+  /** This sidecar's group, once it is known. */
+  private group: Heartbeat | undefined;
   private completedCount = 0;
   private timer: Timer | undefined;
+  private heartbeats: Timer | undefined;
   private stopped = false;
 
   constructor(private readonly deps: CoordinatorDependencies) {}
 
   start(): void {
-    this.timer = this.deps.clock.after(
+    const {clock} = this.deps;
+    this.timer = clock.after(
       POLL_INTERVAL_MS,
       () => void this.stepAndReschedule(),
     );
+    this.heartbeats = repeatEvery(clock, HEARTBEAT_INTERVAL_MS, () =>
+      this.sendHeartbeat(),
+    );
   }
 
   /** Number of map changes that this sidecar has completed. */
@@ -116,6 +152,16 @@
       );
     }
     this.timer?.cancel();
+    this.heartbeats?.cancel();
+  }
+
+  private sendHeartbeat(): void {
+    const {group} = this;
+    if (!this.leading || !group) return;
+    const addresses = [...this.groupByAddress]
+      .filter(([, known]) => known.group === group.group)
+      .map(([address]) => address);
+    this.deps.sendHeartbeat(addresses, group);
   }
 
   private async stepAndReschedule(): Promise<void> {
@@ -146,17 +192,17 @@
       return;
     }
     const ownReport = await agent.report();
-    const takeoverMs =
-      TAKEOVER_TIMEOUT_MS + TAKEOVER_DELAY_PER_RANK_MS * ownReport.rank;
-    const leads = ownReport.rank === 0 || agent.msSinceLastPoll() > takeoverMs;
+    this.group = {group: ownReport.group, rank: ownReport.rank};
+    const leads = await this.shouldLead(ownReport);
     if (leads !== this.leading) {
       this.leading = leads;
       log('info', leads ? 'became coordinator' : 'no longer coordinator', {
         group: ownReport.group,
         rank: ownReport.rank,
-        sinceAskedMs: Math.round(agent.msSinceLastPoll()),
+        sinceSignMs: Math.round(agent.msSinceLastSign()),
       });
     }
+    this.updateRole();
     // A coordinator that no longer leads still releases the hold it placed.
     if (!leads && !this.mayHold()) {
       this.change = undefined;
@@ -169,9 +215,46 @@
     this.applyInput({kind: 'tick'});
     if (!readDemand) return;
     this.lastDemandReadMs = nowMs;
+    this.readDemand();
     if (leads) this.planChange(nowMs);
   }
 
+  /**
+   * Whether this coordinator leads now. Before it takes over, it asks the
+   * others whether one of a lower rank is leading, because datagrams may be
+   * lost or late.
+   */
+  private async shouldLead(ownReport: RankReport): Promise<boolean> {
+    const {agent} = this.deps;
+    const {rank} = ownReport;
+    if (rank === 0) return true;
+    const takeoverMs = TAKEOVER_TIMEOUT_MS + TAKEOVER_DELAY_PER_RANK_MS * rank;
+    if (agent.msSinceLastSign() <= takeoverMs) return false;
+    if (this.leading) return true;
+    await this.poll(ownReport, false);
+    const leader = this.aliveStates().find(s => s.leading && s.rank < rank);
+    if (!leader) return true;
+    agent.recordSign(leader);
+    this.deps.log('info', 'coordinator is alive without heartbeats', {
+      group: ownReport.group,
+      rank: leader.rank,
+    });
+    return false;
+  }
+
+  /** States that show what their sidecars do now. */
+  private aliveStates(): readonly PolledState[] {
+    const sinceMs = this.deps.clock.elapsedMs() - ALIVE_AFTER_ANSWER_MS;
+    return [...this.states.values()].filter(s => s.polledMs >= sinceMs);
+  }
+
+  private updateRole(): void {
+    this.deps.agent.setRole({
+      leading: this.leading,
+      holding: this.mayHold(),
+    });
+  }
+
   /** Whether this coordinator may have placed a hold that still stands. */
   private mayHold(): boolean {
     const kind = this.change?.phase.kind ?? 'idle';
@@ -195,6 +278,7 @@
     this.change = {...fresh, version: change?.version ?? 0};
     this.states.clear();
     this.clients.clear();
+    this.choices = [];
     this.deps.log('info', 'group formed', {
       group: ownReport.group,
       epoch: ownReport.epoch,
@@ -204,17 +288,20 @@
 
   private async poll(
     ownReport: RankReport,
-    withCounts: boolean,
+    withChoices: boolean,
   ): Promise<void> {
     const nowMs = this.deps.clock.elapsedMs();
-    const addressesToPoll = this.deps.addresses().filter(address => {
+    const answers: Promise<void>[] = [];
+    for (const address of this.deps.addresses()) {
       const known = this.groupByAddress.get(address);
-      if (!known || known.group === ownReport.group) return true;
-      return nowMs - known.polledMs > OTHER_GROUP_POLL_INTERVAL_MS;
-    });
-    const answers = addressesToPoll.map(address =>
-      this.pollAddress(address, ownReport, withCounts, nowMs),
-    );
+      const isMember = known?.group === ownReport.group;
+      const isDue =
+        !known || nowMs - known.polledMs > OTHER_GROUP_POLL_INTERVAL_MS;
+      if (!isMember && !isDue) continue;
+      // The choices of a rank outside the group would only fill the link.
+      const query = withChoices && isMember;
+      answers.push(this.pollAddress(address, ownReport, query, nowMs));
+    }
     const {clock} = this.deps;
     const timeout = new Promise<void>(done =>
       clock.after(POLL_TIMEOUT_MS, done),
@@ -232,22 +319,21 @@
   private async pollAddress(
     address: string,
     ownReport: RankReport,
-    withCounts: boolean,
+    withChoices: boolean,
     nowMs: number,
   ): Promise<void> {
     if (this.pendingAddresses.has(address)) return;
     this.pendingAddresses.add(address);
     const client = this.clientAt(address);
     try {
-      const state = await client.state(ownReport.rank, withCounts);
+      const state = await client.state(ownReport, withChoices);
       this.groupByAddress.set(address, {group: state.group, polledMs: nowMs});
       if (state.group !== ownReport.group || state.epoch !== ownReport.epoch)
         return;
-      const counts =
-        state.counts.length > 0
-          ? state.counts
-          : (this.states.get(state.rank)?.counts ?? []);
-      this.states.set(state.rank, {...state, counts});
+      if (state.choices.length > 0) this.choices.push(state.choices);
+      // It may still show the hold that this coordinator has released since.
+      if (nowMs < this.releasedMs) return;
+      this.states.set(state.rank, {...state, polledMs: nowMs});
       this.clients.set(state.rank, client);
       this.applyInput({kind: 'report', report: state});
     } catch (error) {
@@ -270,11 +356,15 @@
       random,
     });
     this.change = state;
+    this.updateRole();
     if (state.phase.kind !== before.phase.kind) {
       const {version, epoch} = state;
       if (state.phase.kind === 'releasing' && state.phase.committed) {
         this.completedCount += 1;
       }
+      if (before.phase.kind === 'releasing') {
+        this.releasedMs = clock.elapsedMs();
+      }
       // Demand has moved while the experts were copied, so read it now.
       if (state.phase.kind === 'idle') this.lastDemandReadMs = -Infinity;
       const pass = 'pass' in state.phase ? state.phase.pass : undefined;
@@ -298,10 +388,20 @@
     order,
     direct,
   }: OutgoingOrder): Promise<void> {
+    const isPrepare = order.kind === 'prepare';
+    // Repeats of a large order that is still in flight would fill the link. An
+    // order without an answer is repeated after its timeout.
+    if (isPrepare && this.preparingRanks.has(rank)) return;
+    if (isPrepare) this.preparingRanks.add(rank);
+    const timeoutMs =
+      this.change?.phase.kind === 'preparing'
+        ? PREPARE_ORDER_TIMEOUT_MS
+        : ORDER_TIMEOUT_MS;
     const client = this.clients.get(rank);
     const outcome = client
-      ? await client.order(epoch, order, direct)
+      ? await client.order(epoch, order, {direct, timeoutMs})
       : 'unknown';
+    if (isPrepare) this.preparingRanks.delete(rank);
     // The group has formed again in the meantime.
     if (this.change?.epoch !== epoch) return;
     this.applyInput({kind: 'answer', rank, order, outcome});
@@ -313,16 +413,28 @@
     return mapInUse(this.states, this.change.size, limits);
   }
 
+  /** Adds what the ranks have chosen to the estimate of the demand. */
+  private readDemand(): void {
+    const {change, choices} = this;
+    const limits = this.deps.limits();
+    this.choices = [];
+    if (!limits || !change) return;
+    const {sets, experts} = limits;
+    this.demand = updateDemand(
+      this.demand,
+      {epoch: change.epoch, sets, experts, ofRanks: choices},
+      this.deps.clock.elapsedMs(),
+    );
+  }
+
   private planChange(nowMs: number): void {
     const limits = this.deps.limits();
-    const {change} = this;
+    const {change, demand} = this;
     if (!limits || !change || this.states.size !== change.size) return;
     const states = [...this.states.values()];
-    if (states.some(s => s.counts.length === 0)) return;
     // The group switched maps between the reports, or a rank did not report.
     if (states.some(s => s.map !== states[0]!.map)) return;
-    this.demand = updateDemand(this.demand, states, limits.sets, nowMs);
-    if (!this.demand.known || !mayBeginChange(change, nowMs) || this.stopped)
+    if (!demand?.known || !mayBeginChange(change, nowMs) || this.stopped)
       return;
     const map = this.currentMap();
     if (!map) return;
@@ -330,7 +442,7 @@
       {length: change.size},
       (_, rank) => this.states.get(rank)!.pace,
     );
-    const plan = improveMap(map, this.demand.shares, limits, paces);
+    const plan = improveMap(map, demand.shares, limits, paces);
     if (!plan) return;
     this.deps.log('info', 'map change planned', {
       copies: plan.copies,
--- a/src/ranks/demand.ts
+++ b/src/ranks/demand.ts
@@ -1,25 +1,33 @@
 /**
  * Estimates how much each expert of a group is in demand.
  *
- * Ranks count how often they chose each expert since their start. The
- * differences between two readings go into an exponentially decaying average.
- * Demand jumps when the subjects of requests change. A reading that is far
- * from the average replaces it, so the estimate follows a jump in one reading.
+ * Each rank tells how often it chose each expert since it was last asked. The
+ * sums over all ranks go into an exponentially decaying average. Demand jumps
+ * when the subjects of requests change. A reading that is far from the average
+ * replaces it, so the estimate follows a jump in one reading.
  */
-import {RankState} from './rank';
 
 export interface Demand {
   /** Share of each expert in its set's choices, indexed by set, then expert. */
   readonly shares: readonly (readonly number[])[];
-  /** Counters of each rank at the last reading. */
-  readonly counts: ReadonlyMap<number, readonly number[]>;
+  /** Choices that are too few for a reading yet, set by set. */
+  readonly pending: readonly number[];
   readonly epoch: number;
   /** Time of the last reading. */
   readonly atMs: number;
-  /** False until two readings were compared; `shares` is uniform until then. */
+  /** False until the first reading; `shares` is uniform until then. */
   readonly known: boolean;
 }
 
+/** What the ranks of a group have chosen since they were last asked. */
+export interface Choices {
+  readonly epoch: number;
+  readonly sets: number;
+  readonly experts: number;
+  /** Choices of each rank that answered, set by set. */
+  readonly ofRanks: readonly (readonly number[])[];
+}
+
 /** Time constant of the exponentially decaying average. */
 const AVERAGING_TIME_CONSTANT_MS = 1_500;
 
@@ -34,43 +42,46 @@
 /** With fewer choices a reading is too noisy; the next one then covers more. */
 const MIN_CHOICES_PER_READING = 2_000;
 
-/** Adds a reading of all ranks of a group to the estimate. */
+/** Adds the ranks' choices to the estimate. */
 export function updateDemand(
   before: Demand | undefined,
-  ranks: readonly RankState[],
-  sets: number,
+  {epoch, sets, experts, ofRanks}: Choices,
   nowMs: number,
 ): Demand {
-  const counts = new Map(ranks.map(r => [r.rank, r.counts] as const));
-  const epoch = ranks[0]?.epoch ?? 0;
-  const expertsPerSet = Math.floor(
-    (ranks[0]?.counts.length ?? 0) / Math.max(1, sets),
-  );
-  if (!before || before.epoch !== epoch) {
-    const shares = Array.from({length: sets}, () =>
-      new Array<number>(expertsPerSet).fill(1 / expertsPerSet),
-    );
-    return {shares, counts, epoch, atMs: nowMs, known: false};
-  }
-  const sums = new Array<number>(sets * expertsPerSet).fill(0);
-  for (const {rank, counts: now} of ranks) {
-    const old = before.counts.get(rank);
-    if (!old || old.length !== now.length) continue;
-    now.forEach((count, i) => (sums[i]! += Math.max(0, count - old[i]!)));
+  const last =
+    before?.epoch === epoch && before.pending.length === sets * experts
+      ? before
+      : uniformDemand(epoch, sets, experts, nowMs);
+  const sums = [...last.pending];
+  for (const choices of ofRanks) {
+    if (choices.length !== sums.length) continue;
+    choices.forEach((n, i) => (sums[i]! += n));
   }
   const total = sums.reduce((sum, n) => sum + n, 0);
-  if (total < MIN_CHOICES_PER_READING) return before;
+  if (total < MIN_CHOICES_PER_READING) return {...last, pending: sums};
   const newShares = Array.from({length: sets}, (_, set) =>
-    normalizeToShares(
-      sums.slice(set * expertsPerSet, (set + 1) * expertsPerSet),
-    ),
+    normalizeToShares(sums.slice(set * experts, (set + 1) * experts)),
   );
-  const passedMs = nowMs - before.atMs;
+  const passedMs = nowMs - last.atMs;
   const weight = 1 - Math.exp(-passedMs / AVERAGING_TIME_CONSTANT_MS);
   const shares = newShares.map((set, i) =>
-    blendShares(before.shares[i]!, set, before.known ? weight : 1),
+    blendShares(last.shares[i]!, set, last.known ? weight : 1),
+  );
+  const pending = sums.map(() => 0);
+  return {shares, pending, epoch, atMs: nowMs, known: true};
+}
+
+function uniformDemand(
+  epoch: number,
+  sets: number,
+  experts: number,
+  atMs: number,
+): Demand {
+  const shares = Array.from({length: sets}, () =>
+    new Array<number>(experts).fill(1 / experts),
   );
-  return {shares, counts, epoch, atMs: nowMs, known: true};
+  const pending = new Array<number>(sets * experts).fill(0);
+  return {shares, pending, epoch, atMs, known: false};
 }
 
 function blendShares(
--- a/src/ranks/rank.ts
+++ b/src/ranks/rank.ts
@@ -39,12 +39,29 @@
   readonly pace: number;
 }
 
+/** What a rank's sidecar does as a coordinator of the group. */
+export interface CoordinatorRole {
+  readonly leading: boolean;
+  /** Whether it may have placed a hold that still stands. */
+  readonly holding: boolean;
+}
+
 /** A rank's report together with its experts, as its sidecar serves it. */
-export interface RankState extends RankReport {
+export interface RankState extends RankReport, CoordinatorRole {
   /** The rank's experts in the map in use. */
   readonly experts: RankExperts;
-  /** How often each expert was chosen since the start, set by set. */
-  readonly counts: readonly number[];
+  /**
+   * How often each expert was chosen since the sidecar was last asked, set by
+   * set; empty if it was not asked or does not know.
+   */
+  readonly choices: readonly number[];
+}
+
+/** A sign, sent several times a second, that a leading coordinator is alive. */
+export interface Heartbeat {
+  readonly group: string;
+  /** Rank of the coordinator. */
+  readonly rank: number;
 }
 
 export type RankOrder =
--- a/src/ranks/rankclient.ts
+++ b/src/ranks/rankclient.ts
@@ -5,16 +5,21 @@
 import * as z from 'zod';
 import {Clock} from '../kernel/clock';
 import {JsonClient} from '../kernel/jsonclient';
-import {ORDER_PATH, STATE_PATH} from './agent';
+import {ORDER_PATH, rankMapKey, StateAnswer, statePath} from './agent';
 import {Engine} from './engine';
-import {OrderOutcome, RankOrder, RankState} from './rank';
+import {packMap, unpackChoices} from './packing';
+import {
+  Heartbeat,
+  OrderOutcome,
+  RankExperts,
+  RankOrder,
+  RankState,
+} from './rank';
 
 /** Timeout of a state request to a sidecar. */
 const STATE_TIMEOUT_MS = 300;
-/** Timeout of an order, to a sidecar or an engine. */
-const ORDER_TIMEOUT_MS = 200;
 
-const stateSchema: z.ZodType<RankState> = z.object({
+const stateSchema: z.ZodType<StateAnswer> = z.object({
   group: z.string(),
   epoch: z.number(),
   rank: z.number().int(),
@@ -28,9 +33,11 @@
   running: z.number(),
   queued: z.number(),
   pace: z.number(),
-  experts: z.array(z.array(z.number())),
-  counts: z.array(z.number()),
-}) as z.ZodType<RankState>;
+  leading: z.boolean().default(false),
+  holding: z.boolean().default(false),
+  experts: z.array(z.array(z.number())).optional(),
+  choices: z.object({scale: z.number(), packed: z.string()}).optional(),
+}) as z.ZodType<StateAnswer>;
 
 const outcomeSchema = z.object({
   outcome: z.enum(['accepted', 'refused', 'unknown']),
@@ -40,16 +47,22 @@
 export interface RankClient {
   /** Address of the endpoint. */
   readonly address: string;
-  /** Reads the rank's state for the coordinator of the given rank. */
-  state(coordinator: number, withCounts: boolean): Promise<RankState>;
-  /** Never rejects. A direct order bypasses the rank's sidecar. */
+  /** Reads the rank's state for a coordinator. */
+  state(coordinator: Heartbeat, withChoices: boolean): Promise<RankState>;
+  /** Never rejects; `unknown` if there is no answer within `timeoutMs`. */
   order(
     epoch: number,
     order: RankOrder,
-    direct: boolean,
+    options: OrderOptions,
   ): Promise<OrderOutcome>;
 }
 
+export interface OrderOptions {
+  /** Whether the order bypasses the rank's sidecar. */
+  readonly direct: boolean;
+  readonly timeoutMs: number;
+}
+
 /**
  * How long a sidecar is bypassed after it did not answer. A frozen sidecar may
  * have left its group held, so its engine must be reached without it.
@@ -65,13 +78,15 @@
   clock: Clock,
 ): RankClient {
   let bypassUntilMs = -Infinity;
+  /** The rank's experts in the map that it last reported to use. */
+  let known: {key: string; experts: RankExperts} | undefined;
 
   const isSidecarBypassed = () => clock.elapsedMs() < bypassUntilMs;
   const bypassSidecar = () =>
     (bypassUntilMs = clock.elapsedMs() + SIDECAR_BYPASS_MS);
 
   /**
-   * Reads the state from the engine. Leaves out the counts, which are expensive
+   * Reads the state from the engine. Leaves out the choices, which are expensive
    * to read from another instance.
    */
   async function stateFromEngine(): Promise<RankState> {
@@ -79,39 +94,51 @@
     const {version, experts} = await engine.experts();
     if (version !== report.map)
       throw new Error('expert map changed between two reads');
-    return {...report, experts, counts: []};
+    const role = {leading: false, holding: false};
+    return {...report, ...role, experts, choices: []};
+  }
+
+  function toState({choices, ...answer}: StateAnswer): RankState {
+    const key = rankMapKey(answer);
+    const experts =
+      answer.experts ?? (known?.key === key ? known.experts : undefined);
+    if (!experts) throw new Error('sidecar: no experts in the answer');
+    known = {key, experts};
+    return {...answer, experts, choices: choices ? unpackChoices(choices) : []};
   }
 
   return {
     address,
-    async state(coordinator, withCounts) {
+    async state(coordinator, withChoices) {
       if (isSidecarBypassed()) return stateFromEngine();
-      const query = `?coordinator=${coordinator}${withCounts ? '&counts' : ''}`;
+      const query = {coordinator, withChoices, knownMap: known?.key};
       try {
         const {status, body} = await caller.call(
           'GET',
           sidecar,
-          STATE_PATH + query,
+          statePath(query),
           undefined,
           STATE_TIMEOUT_MS,
         );
         if (status !== 200) throw new Error(`sidecar: status ${status}`);
-        return stateSchema.parse(body);
+        return toState(stateSchema.parse(body));
       } catch {
         bypassSidecar();
         return stateFromEngine();
       }
     },
-    async order(epoch, order, direct) {
+    async order(epoch, order, {direct, timeoutMs}) {
       if (direct || isSidecarBypassed())
-        return engine.order(epoch, order, ORDER_TIMEOUT_MS);
+        return engine.order(epoch, order, timeoutMs);
+      const sent =
+        order.kind === 'prepare' ? {...order, map: packMap(order.map)} : order;
       try {
         const {status, body} = await caller.call(
           'POST',
           sidecar,
           ORDER_PATH,
-          {epoch, order},
-          ORDER_TIMEOUT_MS,
+          {epoch, order: sent},
+          timeoutMs,
         );
         if (status !== 200) return 'unknown';
         return outcomeSchema.parse(body).outcome;
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -318,7 +318,12 @@
     clock,
     log,
   );
-  const publisher = new LoadPublisher({host: ip, port: peerPort}, clock, log);
+  const publisher = new LoadPublisher(
+    {host: ip, port: peerPort},
+    clock,
+    log,
+    heartbeat => agent.recordSign(heartbeat),
+  );
   let catalog = emptyCatalog;
   const operatorWatch = new TableWatch(
     operatorTable(store, log),
@@ -369,6 +374,8 @@
         clock,
       );
     },
+    sendHeartbeat: (addresses, heartbeat) =>
+      publisher.sendHeartbeat(addresses.map(hostOf), heartbeat),
     limits: () => {
       const experts = catalog.services.get(service ?? '')?.engine?.experts;
       if (!experts) return undefined;
--- a/test/coordination.test.ts
+++ b/test/coordination.test.ts
@@ -85,7 +85,7 @@
     this.outbound = new Link(clock);
   }
 
-  private sendTo(target: Machine, text: string, deliver: () => void): void {
+  sendTo(target: Machine, text: string, deliver: () => void): void {
     if (target === this) return deliver();
     const bytes = HEAD_BYTES + Buffer.byteLength(text);
     this.outbound.send(bytes, () =>
@@ -417,6 +417,14 @@
         const coordinator = new Coordinator({
           agent,
           addresses: () => addresses,
+          sendHeartbeat: (targets, heartbeat) => {
+            for (const address of targets) {
+              const target = this.nodes.get(address.split(':')[0]!)!;
+              machine.sendTo(target.machine, JSON.stringify(heartbeat), () =>
+                target.agent.recordSign(heartbeat),
+              );
+            }
+          },
           clientFor: address => {
             const remoteHost = address.split(':')[0]!;
             return createRankClient(
--- a/test/mapinuse.test.ts
+++ b/test/mapinuse.test.ts
@@ -25,8 +25,10 @@
     running: 0,
     queued: 0,
     pace: 1,
+    leading: false,
+    holding: false,
     experts,
-    counts: [],
+    choices: [],
   };
 }
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -9,7 +9,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {Demand, updateDemand} from '../src/ranks/demand';
 import {improveMap, PlacementLimits, meanSkew} from '../src/ranks/placement';
-import {RankMap, RankState} from '../src/ranks/rank';
+import {RankMap} from '../src/ranks/rank';
 
 const RANKS = 12;
 const EXPERTS = 96;
@@ -176,32 +176,41 @@
 });
 
 describe('demand estimate', () => {
-  const state = (rank: number, counts: readonly number[], epoch = 1) =>
-    ({rank, epoch, counts}) as unknown as RankState;
   const addReading = (
     before: Demand | undefined,
-    counts: readonly number[],
+    choices: readonly number[],
     nowMs: number,
     epoch = 1,
-  ) => updateDemand(before, [state(0, counts, epoch)], 1, nowMs);
+  ) =>
+    updateDemand(
+      before,
+      {epoch, sets: 1, experts: 2, ofRanks: [choices]},
+      nowMs,
+    );
 
   it('follows a jump in one reading and averages small differences', () => {
     let demand = addReading(undefined, [0, 0], 0);
     expect(demand.known).to.equal(false);
     demand = addReading(demand, [9_000, 1_000], 500);
     expect(demand.shares[0]![0]).to.be.closeTo(0.9, 0.001);
-    demand = addReading(demand, [17_000, 3_000], 1_000);
+    demand = addReading(demand, [8_000, 2_000], 1_000);
     expect(demand.shares[0]![0]).to.be.within(0.8, 0.9);
-    demand = addReading(demand, [18_000, 12_000], 1_500);
+    demand = addReading(demand, [1_000, 9_000], 1_500);
     expect(demand.shares[0]![0]).to.be.closeTo(0.1, 0.001);
   });
 
   it('is reset when the group forms again', () => {
-    // The counters restart from zero, so a difference would be negative.
-    let demand = addReading(undefined, [0, 0], 0);
-    demand = addReading(demand, [9_000, 1_000], 500);
+    let demand = addReading(undefined, [9_000, 1_000], 500);
+    expect(demand.known).to.equal(true);
     demand = addReading(demand, [10, 10], 1_000, 2);
     expect(demand.known).to.equal(false);
     expect(demand.shares[0]).to.deep.equal([0.5, 0.5]);
   });
+
+  it('waits until there are enough choices, and loses none', () => {
+    let demand = addReading(undefined, [1_500, 0], 500);
+    expect(demand.known).to.equal(false);
+    demand = addReading(demand, [0, 500], 1_000);
+    expect(demand.shares[0]![0]).to.be.closeTo(0.75, 0.001);
+  });
 });
--- a/test/rankclient.test.ts
+++ b/test/rankclient.test.ts
@@ -66,11 +66,13 @@
       caller,
       systemClock,
     );
-    const state = await client.state(1, true);
+    const state = await client.state({group: 'g', rank: 1}, true);
     expect(state).to.include({held: 8, pass: 7});
     expect(state.experts).to.deep.equal([[1, 2]]);
     const go = {kind: 'go', pass: 8} as const;
-    expect(await client.order(1, go, false)).to.equal('accepted');
+    expect(await client.order(1, go, {direct: false, timeoutMs: 200})).to.equal(
+      'accepted',
+    );
     expect(orders).to.deep.equal([go]);
   });
 });
