Map change: do not cancel what a live coordinator has begun

A coordinator that found a group held for 0.25 s cleared the hold, also if the one that had placed it was alive or if the report was older than its own release. The group was then held for one to two seconds longer.

Change: sidecars tell whether they hold the group. Nothing else of the protocol changes, so a hold that is left is cleared as before, at most half a second later. The pass of the switch is further ahead on large groups, where the orders to arm take longer than the two passes that were enough for 12 ranks.

Measured: mapchange.test.ts with its model, in which coordinators now also hear of each other's holds up to half a second late, passes (mixed maps, groups left held).

--- a/src/ranks/clearing.ts
+++ b/src/ranks/clearing.ts
@@ -34,7 +34,7 @@
   endWithBackoff,
   ChangeDecision,
 } from './mapchangestate';
-import {OrderOutcome, RankOrder} from './rank';
+import {OrderOutcome, RankOrder, RankReport} from './rank';
 
 /** A hold that belongs to no current change is cleared after this time. */
 const STRAY_HOLD_TIMEOUT_MS = 250;
@@ -328,7 +328,11 @@
   return true;
 }
 
-/** Clears a hold that another coordinator left, or that was placed late. */
+/**
+ * Clears a hold that another coordinator left, or that was placed late. A
+ * coordinator that is alive releases its hold itself; to clear it would only
+ * prolong it.
+ */
 export function clearStrayHold(
   state: ChangeState,
   context: ChangeContext,
@@ -336,7 +340,9 @@
   const heldReports = [...state.reports.values()].filter(
     r => r.held !== undefined,
   );
-  if (heldReports.length === 0) {
+  const isOfLiveCoordinator = ({rank}: RankReport) =>
+    context.holdingRanks.has(coordinatorOfHoldRank(rank, state.size));
+  if (heldReports.length === 0 || heldReports.some(isOfLiveCoordinator)) {
     return {state: {...state, strayHoldSinceMs: undefined}, orders: []};
   }
   const since = state.strayHoldSinceMs ?? context.nowMs;
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -354,6 +354,7 @@
       nowMs: clock.elapsedMs(),
       inUse: this.currentMap(),
       random,
+      holdingRanks: this.holdingRanks(),
     });
     this.change = state;
     this.updateRole();
@@ -382,6 +383,15 @@
     for (const order of orders) void this.sendOrder(order);
   }
 
+  /** Ranks of other coordinators that are alive and hold the group. */
+  private holdingRanks(): ReadonlySet<number> {
+    const ownRank = this.change?.ownRank;
+    const holding = this.aliveStates().filter(
+      s => s.holding && s.rank !== ownRank,
+    );
+    return new Set(holding.map(s => s.rank));
+  }
+
   private async sendOrder({
     rank,
     epoch,
--- a/src/ranks/mapchange.ts
+++ b/src/ranks/mapchange.ts
@@ -69,9 +69,11 @@
 
 /**
  * Distance from the last pass begun to the pass at which the ranks switch. A
- * pass takes about 50 ms, and the orders to arm take about 10 ms.
+ * pass takes about 50 ms. The orders to arm leave the coordinator one after the
+ * other, in three waves; those to twelve ranks take about a pass.
  */
-const PASSES_AHEAD = 2;
+const MIN_PASSES_AHEAD = 2;
+const RANKS_ARMED_PER_PASS = 12;
 /** The same while answers are being lost; leaves time for five retries. */
 const PASSES_AHEAD_LOSSY = 5;
 
@@ -352,7 +354,12 @@
     all.length === state.size && all.every(r => r.prepared === state.version);
   if (!ready) return {state, orders: []};
   const newest = Math.max(...all.map(r => r.pass));
-  const ahead = phase.silentRanks.size > 0 ? PASSES_AHEAD_LOSSY : PASSES_AHEAD;
+  const usualAhead =
+    MIN_PASSES_AHEAD + Math.floor(state.size / RANKS_ARMED_PER_PASS);
+  const ahead =
+    phase.silentRanks.size > 0
+      ? Math.max(PASSES_AHEAD_LOSSY, usualAhead)
+      : usualAhead;
   const pass = Math.max(newest + ahead, state.lastHoldPass + 1);
   const holding: HoldingPhase = {
     kind: 'holding',
--- a/src/ranks/mapchangestate.ts
+++ b/src/ranks/mapchangestate.ts
@@ -134,6 +134,11 @@
   readonly inUse: RankMap | undefined;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
+  /**
+   * Ranks of other coordinators that are known to be alive and to hold the
+   * group. They release their holds themselves.
+   */
+  readonly holdingRanks: ReadonlySet<number>;
 }
 
 export interface ChangeDecision {
--- a/test/fuzz/mapchange-world.ts
+++ b/test/fuzz/mapchange-world.ts
@@ -29,6 +29,8 @@
 const STEP_INTERVAL_MS = 100;
 const MAX_ORDER_DELAY_MS = 12_000;
 const COPY_MS = 400;
+/** Time for which a coordinator counts as alive after its last answer. */
+const ALIVE_AFTER_ANSWER_MS = 500;
 
 /** Probability of each fault, in thousandths, whenever it can occur. */
 export interface FaultRates {
@@ -67,6 +69,8 @@
 interface SimulatedCoordinator {
   state: ChangeState;
   frozenUntilMs: number;
+  /** When the other coordinator last answered that it holds the group. */
+  otherHeldMs: number;
   /** Inputs that arrived while it was frozen. */
   inbox: ChangeInput[];
 }
@@ -105,6 +109,7 @@
       this.coordinators.push({
         state: initialChangeState(ownRank, SIZE, this.epoch),
         frozenUntilMs: 0,
+        otherHeldMs: -Infinity,
         inbox: [],
       });
       this.scheduleEvery(STEP_INTERVAL_MS, ownRank * 7, () =>
@@ -323,6 +328,7 @@
         );
       });
     }
+    this.askOther(index);
     this.schedule(this.nowMs + 10, () => this.deliver(index, {kind: 'tick'}));
     if (mayBeginChange(coordinator.state, this.nowMs) && this.occurs(300)) {
       this.applyInput(index, {
@@ -332,6 +338,23 @@
     }
   }
 
+  /** Asks the other coordinator whether it holds the group. */
+  private askOther(index: number): void {
+    const other = COORDINATORS.find(rank => rank !== index)!;
+    const {state, frozenUntilMs} = this.coordinators[other]!;
+    if (frozenUntilMs > this.nowMs || !this.canReach(index, other)) return;
+    if (this.occurs(this.faults.lostMessages)) return;
+    const {kind} = state.phase;
+    const isHolding = kind !== 'idle' && kind !== 'preparing';
+    this.coordinators[index]!.otherHeldMs = isHolding ? this.nowMs : -Infinity;
+  }
+
+  private holdingRanks(index: number): ReadonlySet<number> {
+    const {otherHeldMs} = this.coordinators[index]!;
+    if (this.nowMs - otherHeldMs > ALIVE_AFTER_ANSWER_MS) return new Set();
+    return new Set(COORDINATORS.filter(rank => rank !== index));
+  }
+
   private processInbox(index: number): void {
     const coordinator = this.coordinators[index]!;
     const {inbox} = coordinator;
@@ -352,6 +375,7 @@
       nowMs: this.nowMs,
       inUse: this.currentMap(),
       random: () => this.random(1_000_000) / 1_000_000,
+      holdingRanks: this.holdingRanks(index),
     });
     coordinator.state = state;
     if (before.phase.kind !== 'releasing' && state.phase.kind === 'releasing') {
