One odd registration no longer ends an entry

Callers saw: every request that an entry had open was cut, because the process ended at the first request that it sent to the registration. As long as the registration stands in the store, a new process can end in the same way.

Cause: a registration was accepted with any digits as its port and any key as its id. net.connect and http.request check ports and header values before they connect, and they throw. startAttempt runs in the handler of a caller's request and nothing caught the error there, so it was uncaught. If the header was at fault, the connection timer threw as well 250 ms later.

Ids with a line break give ERR_INVALID_CHAR in the same place.

An attempt that cannot be made ends as not sent. That also covers other values from outside, such as an account name in a header.

--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -61,28 +61,55 @@
   let wasReset = false;
   let interimAnswers = 0;
   let response: http.IncomingMessage | undefined;
+  let socket: net.Socket | undefined;
+  let request: http.ClientRequest | undefined;
 
-  const socket = net.connect({host, port: Number(port), noDelay: true});
   const timer = setTimeout(
     () => fail('connection timed out'),
     CONNECT_TIMEOUT_MS,
   );
-  socket.once('connect', () => {
-    connected = true;
-    clearTimeout(timer);
-  });
-  // A reset may appear as a normal end if its error was consumed earlier, but a
-  // connection that was reset no longer has a remote address.
-  socket.once('end', () => (wasReset = socket.remoteAddress === undefined));
-  const request = http.request({
-    createConnection: () => socket,
-    method: target.method,
-    path: target.path,
-    headers: target.headers as string[],
-    setHost: false,
-  });
-  request.on('error', error => fail(error.message));
-  request.on('response', answer => {
+  try {
+    request = sendRequest();
+  } catch (error) {
+    // The path or a header is not valid. The caller does not hold the attempt
+    // yet, so it learns of its end later.
+    setImmediate(() => fail(String(error)));
+  }
+
+  function connect(): net.Socket {
+    const opened = net.connect({host, port: Number(port), noDelay: true});
+    socket = opened;
+    opened.once('connect', () => {
+      connected = true;
+      clearTimeout(timer);
+    });
+    // A reset may appear as a normal end if its error was consumed earlier, but
+    // a connection that was reset no longer has a remote address.
+    opened.once('end', () => (wasReset = opened.remoteAddress === undefined));
+    return opened;
+  }
+
+  function sendRequest(): http.ClientRequest {
+    const sent = http.request({
+      createConnection: connect,
+      method: target.method,
+      path: target.path,
+      headers: target.headers as string[],
+      setHost: false,
+    });
+    sent.on('error', error => fail(error.message));
+    sent.on('response', handleResponse);
+    sent.on('information', () => {
+      interimAnswers += 1;
+      if (interimAnswers > MAX_INTERIM_ANSWERS)
+        fail('too many interim answers');
+    });
+    sent.on('close', () => fail('the connection closed'));
+    sent.end(target.body);
+    return sent;
+  }
+
+  function handleResponse(answer: http.IncomingMessage): void {
     if (settled) return void answer.destroy();
     response = answer;
     const {statusCode = 0, rawHeaders, headers} = answer;
@@ -96,20 +123,14 @@
     answer.on('error', error => fail(error.message));
     answer.on('close', () => fail('the connection closed'));
     handlers.head({status: statusCode, rawHeaders, headers});
-  });
-  request.on('information', () => {
-    interimAnswers += 1;
-    if (interimAnswers > MAX_INTERIM_ANSWERS) fail('too many interim answers');
-  });
-  request.on('close', () => fail('the connection closed'));
-  request.end(target.body);
+  }
 
   function finish(report: () => void): void {
     if (settled) return;
     settled = true;
     clearTimeout(timer);
-    request.destroy();
-    socket.destroy();
+    request?.destroy();
+    socket?.destroy();
     report();
   }
 
