--- a/test/oddregistrations.test.ts
+++ b/test/oddregistrations.test.ts
@@ -9,7 +9,11 @@
 import * as z from 'zod';
 import {parseEndpoint} from '../platform/endpoints';
 import {Deployment} from '../platform/settings';
+import {createStoreClient} from '../platform/store';
+import {endpointTable} from '../platform/tables';
 import {startAttempt} from '../src/gateway/upstream';
+import {JsonClient} from '../src/kernel/jsonclient';
+import {systemClock} from '../src/kernel/clock';
 import {wirePlatformSidecar} from '../src/wiring-platform';
 import {waitUntil} from '../standins/binaryprocess';
 import {freePort, Reply, sendAsCaller} from '../standins/caller';
@@ -140,6 +144,35 @@
     }
     expect(accepted).to.deep.equal([]);
   });
+
+  it('does not keep the others in the same read from being decoded', async () => {
+    const rows: object[] = [];
+    const put = (key: string, bytes: Buffer) =>
+      rows.push({key, value: bytes.toString('base64')});
+    put('i-1', Buffer.from(JSON.stringify(VALID)));
+    for (const [name, text] of oddRegistrations(VALID, NESTING_DEPTH))
+      put(name, Buffer.from(text));
+    // A text whose bytes are not UTF-8.
+    const zone = JSON.stringify({...VALID, zone: 'z\u00ff'});
+    put('i-bytes', Buffer.from(zone, 'latin1'));
+    rows.push({key: 'i-without-value'}, {key: 'i-null-value', value: null});
+    put('i-2', Buffer.from(JSON.stringify(VALID)));
+    const caller = {
+      call: async () => ({status: 200, body: {rows, ver: 7, 'now-ms': 1}}),
+    } as unknown as JsonClient;
+    let skipped = 0;
+    const table = endpointTable(
+      createStoreClient('127.0.0.1:1', caller, systemClock),
+      () => (skipped += 1),
+    );
+    const {change, version} = await table.read();
+    const usable = [...change]
+      .filter(([, e]) => typeof e === 'object')
+      .map(([id]) => id);
+    expect(usable).to.deep.equal(['i-1', 'i-2']);
+    expect(version).to.equal(7);
+    expect(skipped).to.equal(rows.length - 2);
+  });
 });
 
 describe('attempt that cannot be made', () => {
