An endpoint whose registration becomes invalid gets no more requests

Callers saw: requests went to an endpoint whose registration another writer had replaced, for up to 1.5 s if it was the only one of its service.

Cause: a registration that is not valid was treated as one that is gone. One that is gone may have lapsed because the store failed, so it remains usable as a last resort. A registration that is not valid is there and names no endpoint.

Change: the change of a table tells the two apart, and an endpoint whose registration is not valid leaves the catalog at once. Requests that it already has go on. It is back with its next valid registration. The log has the state 'invalid' for it.

Result: the new test sends 20 requests within 1.5 s of the change. Once the registration is valid, requests are served again.

--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -14,8 +14,14 @@
   readonly zones: ReadonlyMap<string, boolean>;
 }
 
-/** Endpoints by id; undefined if the registration is gone. */
-export type EndpointChange = ReadonlyMap<string, Endpoint | undefined>;
+/**
+ * Endpoints by id; undefined if the registration is gone, 'invalid' if it is
+ * there but names no endpoint to use.
+ */
+export type EndpointChange = ReadonlyMap<
+  string,
+  Endpoint | 'invalid' | undefined
+>;
 
 /** A registered endpoint, or one whose registration has just gone. */
 export interface Registration extends Endpoint {
@@ -106,7 +112,9 @@
       }
     }
     for (const [id, endpoint] of change) {
-      if (endpoint) known.set(id, newRegistration(endpoint, nowMs));
+      // A registration that is not valid has not lapsed, so it is not used on.
+      if (endpoint === 'invalid') known.delete(id);
+      else if (endpoint) known.set(id, newRegistration(endpoint, nowMs));
       else markGone(known, id, nowMs);
     }
     for (const [id, {goneSinceMs}] of catalog.endpoints) {
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -43,7 +43,7 @@
   retainLoads,
   SlotChange,
 } from './endpointload';
-import {EndpointLoad, Prompt} from './model';
+import {Endpoint, EndpointLoad, Prompt} from './model';
 import {retryDelayMs, updateMeanMs, waitLimit} from './waitlimit';
 import {emptyLastSends, isWithinRate} from './sharedrate';
 import {
@@ -176,18 +176,14 @@
     const nowMs = this.clock.elapsedMs();
     this.catalog = applyEndpointChange(this.catalog, change, isFullRead, nowMs);
     this.loads = retainLoads(this.loads, this.catalog.endpoints);
-    for (const [id, endpoint] of change) {
+    for (const [id, registered] of change) {
+      const endpoint = registered === 'invalid' ? undefined : registered;
       if (endpoint) this.crashes.handleRegistration(endpoint);
       if (!endpoint) this.forgetRates(id);
       else if (!this.phases.has(id)) this.phases.set(id, this.random());
-      const state = endpoint
-        ? endpoint.draining
-          ? 'draining'
-          : 'ready'
-        : 'gone';
       this.log('info', 'endpoint', {
         endpoint: id,
-        state,
+        state: stateOf(registered),
         service: endpoint?.service,
         address: endpoint?.address,
         zone: endpoint?.zone,
@@ -501,3 +497,10 @@
 function promptOf({incoming: {service, metadata}}: Exchange): Prompt {
   return metadata.sharedParts.map(part => `${service}/${part}`);
 }
+
+/** The state of a registration as it is logged. */
+function stateOf(registered: Endpoint | 'invalid' | undefined): string {
+  if (registered === undefined) return 'gone';
+  if (registered === 'invalid') return 'invalid';
+  return registered.draining ? 'draining' : 'ready';
+}
--- a/test/oddregistrations.test.ts
+++ b/test/oddregistrations.test.ts
@@ -353,4 +353,21 @@
     peer.close();
     peer.closeAllConnections();
   });
+
+  it('take an endpoint out of use at once until it is valid again', async () => {
+    await waitForStatus(200);
+    store.put(
+      'servers',
+      'i-1',
+      withField('address', '"127.0.0.1:70000"', registration()),
+    );
+    // The store sends the change at once.
+    await new Promise(done => setTimeout(done, 200));
+    const received = endpoint.receivedRequests.length;
+    const replies = await Promise.all(Array.from({length: 20}, send));
+    expect(endpoint.receivedRequests).to.have.length(received);
+    expect(replies.map(r => r.status)).to.deep.equal(Array(20).fill(503));
+    register();
+    await waitForStatus(200);
+  });
 });
