One odd instance record no longer stops an entry from linking to others

The entry opened no links to sidecars that were listed after the record, so their targets would get no requests.

Cause: records of the platform's list were used without a check. A record that is null or whose address is empty or no text throws in the watchers of the list, after the list had been taken over, so the change was not seen again. A record that is nested deeply overflows the stack in JSON.stringify, by which the directory compares lists, so every later read failed too.

Change: the client of the platform skips records that are not valid and logs them when they change. An address is checked by one function, which registrations of endpoints use too.

--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -7,6 +7,9 @@
  * `unknown`, and the code that called must read the rows back.
  */
 import got, {Got, HTTPError} from 'got';
+import * as z from 'zod';
+import {parseAddress} from '../kernel/address';
+import {Log, logFor} from '../observe/log';
 import {PlatformSettings} from '../settings/schema';
 
 export interface Row {
@@ -65,7 +68,41 @@
 const HTTP_NOT_FOUND = 404;
 const HTTP_UNAVAILABLE = 503;
 
-export function createPlatformClient(settings: PlatformSettings): Platform {
+const MAX_NAME_CHARACTERS = 200;
+/** Faults of the list are cut to this length in the log. */
+const MAX_LOGGED_FAULT_CHARACTERS = 500;
+
+const name = z.string().min(1).max(MAX_NAME_CHARACTERS);
+const instanceSchema: z.ZodType<InstanceRecord> = z.object({
+  instance: name,
+  zone: name,
+  role: z.enum(['entry', 'sidecar']),
+  address: z.string().refine(text => parseAddress(text) !== undefined),
+  state: z.enum(['live', 'leaving']),
+  targetKind: z.string().max(MAX_NAME_CHARACTERS),
+  target: z.string().max(MAX_NAME_CHARACTERS),
+});
+
+export function createPlatformClient(
+  settings: PlatformSettings,
+  log: Log = logFor('platform'),
+): Platform {
+  let loggedFaults = '';
+
+  /** Skips records that are not valid; logs them when they change. */
+  function readInstances(list: readonly unknown[]): readonly InstanceRecord[] {
+    const reads = list.map(record => instanceSchema.safeParse(record));
+    const faults = reads.flatMap(({error}, index) =>
+      (error?.issues ?? []).map(({path}) => [index, ...path].join('.')),
+    );
+    const reason = faults.join(' ').slice(0, MAX_LOGGED_FAULT_CHARACTERS);
+    if (reason !== loggedFaults && reason !== '') {
+      log('warn', 'instance records skipped: not valid', {reason});
+    }
+    loggedFaults = reason;
+    return reads.flatMap(({data}) => (data ? [data] : []));
+  }
+
   const http = got.extend({
     prefixUrl: settings.url,
     timeout: {request: settings.timeoutMs},
@@ -80,7 +117,8 @@
       await http.put(`objects/${hash}`, {body});
     },
     getObject: hash => getObject(http, hash),
-    instances: () => http.get('instances').json<InstanceRecord[]>(),
+    instances: async () =>
+      readInstances(await http.get('instances').json<unknown[]>()),
   };
 }
 
