Gateway: pass on of a resumed stream only what continues it

What callers saw: a stream had begun and broke, and the next endpoint answered with a signed success that was not the rest of the stream. Its text, or the head of a failure, appeared within the caller's stream, or the stream ended as if it were complete although events were missing.

Cause: once an answer was a signed success, its bytes were passed on whatever they were. Neither its status and content type nor the ids of its events were compared with the stream that had begun. Text between two blank lines counted as an event without an id and was passed on, a success without any event ended the stream, and an answer that says that the request did not run was relayed before that was evaluated.

Change: an answer to a resumption must have the status, media type and content encoding of the answer that has begun. Each event in it needs a numeric id; comments are allowed. It must bring an event after the last one that the caller has. Otherwise the attempt counts as broken, and the stream is resumed again or its connection is closed. Answers that say "not run" are not relayed. Answers to first attempts are passed on as before.

--- a/src/gateway/eventsplitter.ts
+++ b/src/gateway/eventsplitter.ts
@@ -2,13 +2,19 @@
  * Splits a stream of server-sent events into complete events.
  *
  * An endpoint may fail within an event. Only complete events are passed on, so
- * that another endpoint can resume the stream after the last one.
+ * that another endpoint can resume the stream after the last one. Its answer is
+ * passed on as far as the ids of its events show that it continues the stream.
  */
 
 export interface CompleteEvents {
   /** Bytes of complete events; empty if there is none. */
   readonly bytes: Buffer;
   readonly events: number;
+  /**
+   * Whether an event followed that does not continue the stream. It and all
+   * later bytes are dropped.
+   */
+  readonly isInterrupted: boolean;
 }
 
 const NEWLINE = 0x0a;
@@ -17,9 +23,14 @@
 
 export class EventSplitter {
   private partialEvent: Buffer = EMPTY;
+  private newEvents = 0;
 
   /** Events up to and including this id are dropped as duplicates. */
-  constructor(private lastId: string | undefined) {}
+  constructor(
+    private lastId: string | undefined,
+    /** Whether the answer continues a stream that an earlier one began. */
+    private readonly isResumption = false,
+  ) {}
 
   /** Id of the last complete event. */
   get lastEventId(): string | undefined {
@@ -36,6 +47,11 @@
     return this.partialEvent.length;
   }
 
+  /** Whether the answer resumes a stream and brought no event of it yet. */
+  get lacksNewEvent(): boolean {
+    return this.isResumption && this.newEvents === 0;
+  }
+
   push(chunk: Buffer): CompleteEvents {
     const bytes =
       this.partialEvent.length > 0
@@ -43,15 +59,17 @@
         : chunk;
     const whole: Buffer[] = [];
     let start = 0;
+    let isInterrupted = false;
     for (let end = eventEnd(bytes, 0); end > 0; end = eventEnd(bytes, start)) {
       const event = bytes.subarray(start, end);
+      isInterrupted = this.isResumption && !isInStream(event);
+      if (isInterrupted) break;
       if (this.isNew(event)) whole.push(event);
       start = end;
     }
-    this.partialEvent = bytes.subarray(start);
-    if (whole.length === 0) return {bytes: EMPTY, events: 0};
+    this.partialEvent = isInterrupted ? EMPTY : bytes.subarray(start);
     const joined = whole.length === 1 ? whole[0]! : Buffer.concat(whole);
-    return {bytes: joined, events: whole.length};
+    return {bytes: joined, events: whole.length, isInterrupted};
   }
 
   private isNew(event: Buffer): boolean {
@@ -59,11 +77,24 @@
     if (id === undefined) return true;
     const repeated =
       this.lastId !== undefined && Number(id) <= Number(this.lastId);
-    if (!repeated) this.lastId = id;
-    return !repeated;
+    if (repeated) return false;
+    this.lastId = id;
+    this.newEvents += 1;
+    return true;
   }
 }
 
+/**
+ * Whether a block can be part of a stream that is resumed: an event with a
+ * numeric id, whose place is known, or a comment.
+ */
+function isInStream(block: Buffer): boolean {
+  const id = eventId(block);
+  if (id !== undefined) return id !== '' && Number.isFinite(Number(id));
+  const lines = block.toString('latin1').split(/\r?\n/);
+  return lines.every(line => line === '' || line.startsWith(':'));
+}
+
 /** Index after the blank line that ends the event at `start`, or 0 if none. */
 function eventEnd(bytes: Buffer, start: number): number {
   let at = bytes.indexOf(NEWLINE, start);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,7 +4,9 @@
  * An answer other than a stream is buffered until it is complete, so that a
  * broken one can be replaced by another endpoint's. A stream is passed on event
  * by event; if it breaks and its route allows it, another endpoint resumes it
- * after the last complete event. Every request ends by its deadline.
+ * after the last complete event. An answer that does not continue the stream
+ * ends the attempt, and nothing of it is passed on. Every request ends by its
+ * deadline.
  */
 import http from 'node:http';
 import {Clock, Timer} from '../kernel/clock';
@@ -127,6 +129,8 @@
   private splitter: EventSplitter;
   private head: AnswerHead | undefined;
   private answer: AnswerMetadata | undefined;
+  /** Head of the answer that was passed on to the caller. */
+  private passedOnHead: AnswerHead | undefined;
   private body: Buffer[] = [];
   private bodyBytes = 0;
   /** Events of the current attempt. */
@@ -185,14 +189,13 @@
     this.body = [];
     this.bodyBytes = 0;
     this.events = 0;
-    this.splitter = new EventSplitter(this.splitter.lastEventId);
+    const isResumption = this.incoming.res.headersSent;
+    this.splitter = new EventSplitter(this.splitter.lastEventId, isResumption);
     const forwarded = headers.forwardedHeaders(req.rawHeaders, req.headers, {
       endpoint: endpoint.id,
       leftMs: Math.max(1, leftMs - RETURN_MARGIN_MS),
       account: account?.name,
-      lastEventId: this.incoming.res.headersSent
-        ? this.splitter.lastEventId
-        : undefined,
+      lastEventId: isResumption ? this.splitter.lastEventId : undefined,
       bodyBytes: body?.length,
     });
     this.attempt = startAttempt(
@@ -251,6 +254,11 @@
     if (this.endpoint && showsLimit && !answer.misdirected) {
       this.dispatcher.reportLimit(this.endpoint, answer.limitPerS);
     }
+    const begun = this.passedOnHead;
+    if (begun && this.relaysAnswer() && !isSameKind(begun, head)) {
+      this.attempt?.abort();
+      this.handleAttemptEnd('broken', 'answer does not continue the stream');
+    }
   }
 
   private handleData(chunk: Buffer): void {
@@ -265,8 +273,15 @@
       this.bodyBytes += chunk.length;
       return;
     }
-    const {bytes, events} = this.splitter.push(chunk);
-    if (bytes.length === 0) return;
+    const {bytes, events, isInterrupted} = this.splitter.push(chunk);
+    if (bytes.length > 0) this.passOn(bytes, events);
+    if (isInterrupted) {
+      this.attempt?.abort();
+      this.handleAttemptEnd('broken', 'event does not continue the stream');
+    }
+  }
+
+  private passOn(bytes: Buffer, events: number): void {
     this.events += events;
     if (this.events > 1) this.dispatcher.reportProgress(this);
     const {res} = this.incoming;
@@ -276,9 +291,9 @@
 
   /** Whether the answer is passed on as it arrives. */
   private relaysAnswer(): boolean {
-    const status = this.head?.status ?? 0;
-    const success = status >= 200 && status < 300;
-    return this.isStream && success && this.answer?.signed === true;
+    const {head, answer} = this;
+    if (!this.isStream || !head || !answer) return false;
+    return isSuccess(head.status) && answer.signed && !answer.notRun;
   }
 
   private handleAnswerEnd(): void {
@@ -288,8 +303,7 @@
       this.dispatcher.reportMisdirected(this.endpoint.id);
     }
     if (answer.notRun) return this.handleAttemptEnd('notRun', `${head.status}`);
-    const success = head.status >= 200 && head.status < 300;
-    if (!success) return this.handleFailureAnswer(head, answer);
+    if (!isSuccess(head.status)) return this.handleFailureAnswer(head, answer);
     if (!answer.signed) return this.handleAttemptEnd('broken', 'not signed');
     if (this.splitter.hasPartialEvent) {
       return this.handleAttemptEnd(
@@ -298,6 +312,9 @@
         'disconnected',
       );
     }
+    if (this.splitter.lacksNewEvent) {
+      return this.handleAttemptEnd('broken', 'resumed without a new event');
+    }
     if (!this.isStream) this.dispatcher.reportProgress(this);
     this.recordAttempt('answered');
     this.releaseAttempt('works');
@@ -420,6 +437,7 @@
   private writeAnswerHead(): void {
     const {status, rawHeaders, headers} = this.head!;
     const returned = this.deps.headers.returnedHeaders(rawHeaders, headers);
+    this.passedOnHead = this.head;
     this.incoming.res.writeHead(status, returned);
   }
 
@@ -444,6 +462,24 @@
   }
 }
 
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** Whether the bodies of two answers can be parts of one stream. */
+function isSameKind(a: AnswerHead, b: AnswerHead): boolean {
+  return (
+    a.status === b.status &&
+    mediaType(a) === mediaType(b) &&
+    a.headers['content-encoding'] === b.headers['content-encoding']
+  );
+}
+
+/** The content type without its parameters. */
+function mediaType({headers}: AnswerHead): string | undefined {
+  return headers['content-type']?.split(';')[0]!.trim().toLowerCase();
+}
+
 /** Retry-After for a request that was not run, in ms. */
 const NOT_RUN_RETRY_AFTER_MS = 400;
 
--- a/test/platformentries.ts
+++ b/test/platformentries.ts
@@ -13,6 +13,7 @@
 export async function startEntries(
   count: number,
   store: string,
+  bounds: Partial<Deployment['bounds']> = {},
 ): Promise<readonly PlatformEntry[]> {
   const entries: PlatformEntry[] = [];
   for (let i = 0; i < count; i++) {
@@ -34,6 +35,7 @@
         failClosed: true,
         retryRatio: 0.2,
         retryWindowMs: 10_000,
+        ...bounds,
       },
     };
     const program = wirePlatformEntry(deployment);
