Gateway: do not resume a stream whose events have no ids

Cause: the gateway resumed every broken stream of a route that allows it, whether or not it could say where the stream goes on.

Change: a stream is resumed only if each event that was passed on has a numeric id; otherwise its connection is closed.

--- a/src/gateway/eventsplitter.ts
+++ b/src/gateway/eventsplitter.ts
@@ -24,6 +24,7 @@
 export class EventSplitter {
   private partialEvent: Buffer = EMPTY;
   private newEvents = 0;
+  private passedUnknownPlace = false;
 
   /** Events up to and including this id are dropped as duplicates. */
   constructor(
@@ -47,6 +48,11 @@
     return this.partialEvent.length;
   }
 
+  /** Whether the last event's id tells where the stream would go on. */
+  get canBeResumed(): boolean {
+    return !this.passedUnknownPlace;
+  }
+
   /** Whether the answer resumes a stream and brought no event of it yet. */
   get lacksNewEvent(): boolean {
     return this.isResumption && this.newEvents === 0;
@@ -62,8 +68,11 @@
     let isInterrupted = false;
     for (let end = eventEnd(bytes, 0); end > 0; end = eventEnd(bytes, start)) {
       const event = bytes.subarray(start, end);
-      isInterrupted = this.isResumption && !isInStream(event);
-      if (isInterrupted) break;
+      if (!hasKnownPlace(event)) {
+        isInterrupted = this.isResumption;
+        if (isInterrupted) break;
+        this.passedUnknownPlace = true;
+      }
       if (this.isNew(event)) whole.push(event);
       start = end;
     }
@@ -85,10 +94,10 @@
 }
 
 /**
- * Whether a block can be part of a stream that is resumed: an event with a
- * numeric id, whose place is known, or a comment.
+ * Whether the place of a block in the stream is known or does not matter: an
+ * event with a numeric id, or a comment.
  */
-function isInStream(block: Buffer): boolean {
+function hasKnownPlace(block: Buffer): boolean {
   const id = eventId(block);
   if (id !== undefined) return id !== '' && Number.isFinite(Number(id));
   const lines = block.toString('latin1').split(/\r?\n/);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -356,6 +356,9 @@
     this.recordAttempt(outcome, reason);
     this.releaseAttempt(evidence);
     this.attempts = countAttempt(this.attempts, outcome);
+    if (this.incoming.res.headersSent && !this.splitter.canBeResumed) {
+      return this.breakOffAnswer(reason);
+    }
     const leftMs = this.deadlineMs - this.deps.clock.elapsedMs();
     const conditions = {leftMs, withinBudget: true};
     let step = nextStep(this.attempts, outcome, conditions);
--- a/test/brokenstream.test.ts
+++ b/test/brokenstream.test.ts
@@ -226,6 +226,8 @@
   const store = new StoreStandin();
   const endpoints = [new EndpointStandin(), new EndpointStandin()];
   let entry: PlatformEntry;
+  let stopping: PlatformEntry;
+  let stopped: Promise<void> | undefined;
   let withoutRetries: PlatformEntry;
   let requests = 0;
 
@@ -272,21 +274,29 @@
     for (const endpoint of endpoints) await endpoint.start();
     store.put('op', 'config', configuration());
     registerEndpoints('ready');
-    [entry] = (await startEntries(1, address, {retryRatio: 8})) as [
-      PlatformEntry,
+    const started = [
+      ...(await startEntries(2, address, {retryRatio: 8})),
+      ...(await startEntries(1, address, {retryRatio: 0})),
     ];
-    [withoutRetries] = (await startEntries(1, address, {retryRatio: 0})) as [
+    [entry, stopping, withoutRetries] = started as [
+      PlatformEntry,
+      PlatformEntry,
       PlatformEntry,
     ];
     handleWith(signed(200, EVENT_STREAM, event(1)));
     await waitUntil(async () => {
-      const replies = await Promise.all([send(), send(2_000, withoutRetries)]);
+      const entries = [entry, stopping, withoutRetries];
+      const replies = await Promise.all(entries.map(to => send(500, to)));
       return replies.every(({status}) => status === 200);
     }, 'the entries to serve');
   });
 
   after(async () => {
-    await withoutRetries.program.stop();
+    // A program can be stopped only once.
+    await (stopped ?? stopping.program.stop());
+    await Promise.all(
+      [entry, withoutRetries].map(({program}) => program.stop()),
+    );
     store.stop();
     endpoints.forEach(endpoint => endpoint.stop());
   });
@@ -315,6 +325,19 @@
     expect(reply).to.include({body: BEGUN + rest, whole: true});
   });
 
+  it('is not repeated from its beginning if its events have no ids', async () => {
+    const events = 'data: x\n\ndata: y\n\n';
+    const breakAfterTwo: RequestHandler = (a, res) => {
+      res.writeHead(200, {...EVENT_STREAM, ...sealedHeaders(a)});
+      res.write(events, () => setTimeout(() => res.destroy(), BREAK_MS));
+    };
+    const whole = signed(200, EVENT_STREAM, `${events}data: z\n\n`);
+    handleWith(resumeWith(whole, breakAfterTwo));
+    const reply = await send();
+    expect(reply).to.include({body: events, whole: false});
+    expect(lastEventIds()).to.have.length(1);
+  });
+
   it('is broken off at its deadline while it is being resumed', async () => {
     handleWith(resumeWith(() => undefined));
     const reply = await send(300);
@@ -364,10 +387,9 @@
         setTimeout(() => void rest(a, res), RESUME_MS);
       }),
     );
-    const running = send();
+    const running = send(DEADLINE_MS, stopping);
     await waitUntil(() => lastEventIds().includes('2'), 'the resumption');
-    const stopped = entry.program.stop();
+    stopped = stopping.program.stop();
     expect(await running).to.include({body: BEGUN + event(3), whole: true});
-    await stopped;
   }).timeout(20_000);
 });
