Gateway: take requests away from an endpoint whose reports have stopped

Cause: new requests kept off a silent endpoint, but those already there were left to it.

Change: while requests are in flight a gateway looks every 250 ms for endpoints whose reports have stopped. A request there that may run again, and whose answer should have begun by now, is sent to another endpoint within the retry budget. If most endpoints are silent, the reports are at fault and nothing moves.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -24,7 +24,7 @@
   Registration,
   servingEndpoints,
 } from './catalog';
-import {Choice, chooseEndpoint} from './endpointchoice';
+import {Choice, chooseEndpoint, silentEndpoints} from './endpointchoice';
 import {CrashMonitor} from './crashmonitor';
 import {
   Dispatcher,
@@ -68,6 +68,12 @@
 /** Interval at which waiting requests are served again, in milliseconds. */
 const QUEUE_POLL_MS = 10;
 
+/**
+ * Interval at which requests are looked for at endpoints whose reports have
+ * stopped, in milliseconds. It is that of the reports.
+ */
+const SILENCE_CHECK_INTERVAL_MS = 250;
+
 /** Shortest Retry-After while all endpoints are full, in ms. */
 const OVERLOAD_RETRY_AFTER_MS = 800;
 
@@ -122,6 +128,7 @@
   private readonly active = new Set<Exchange>();
   private serveScheduled = false;
   private pollScheduled = false;
+  private silenceCheckScheduled = false;
 
   constructor(
     private readonly settings: DispatcherSettings,
@@ -245,6 +252,7 @@
   /** Accepts a request that has just been read. */
   submit(exchange: Exchange): void {
     this.active.add(exchange);
+    this.scheduleSilenceCheck();
     const {service} = exchange.incoming;
     const retries = this.retries.get(service) ?? emptyRetryState;
     const nowMs = this.clock.elapsedMs();
@@ -439,6 +447,39 @@
     });
   }
 
+  private scheduleSilenceCheck(): void {
+    if (this.silenceCheckScheduled) return;
+    this.silenceCheckScheduled = true;
+    this.clock.after(SILENCE_CHECK_INTERVAL_MS, () => {
+      this.silenceCheckScheduled = false;
+      this.leaveSilentEndpoints();
+      if (this.active.size > 0) this.scheduleSilenceCheck();
+    });
+  }
+
+  /**
+   * Takes the requests that may run again away from endpoints whose reports
+   * have stopped. Such an endpoint would notice only when its instance resumes
+   * that their callers have left.
+   */
+  private leaveSilentEndpoints(): void {
+    const nowMs = this.clock.elapsedMs();
+    const services = new Set(
+      [...this.active].map(({incoming}) => incoming.service),
+    );
+    for (const service of services) {
+      const serving = servingEndpoints(this.catalog, service, nowMs);
+      const silent = silentEndpoints(serving, this.loads, nowMs);
+      if (silent.size === 0) continue;
+      for (const exchange of [...this.active]) {
+        const {currentEndpoint} = exchange;
+        if (currentEndpoint !== undefined && silent.has(currentEndpoint)) {
+          exchange.leaveSilentEndpoint();
+        }
+      }
+    }
+  }
+
   /** Only one poll is scheduled, however many events have served the queues. */
   private schedulePoll(): void {
     if (this.pollScheduled) return;
--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -91,15 +91,29 @@
   return {kind: 'endpoint', endpoint: pickOne(halfEmpty, context.random)};
 }
 
-/** If most endpoints are silent, the reports are at fault and not they. */
 function withoutSilent(
   endpoints: readonly Registration[],
   serving: readonly Registration[],
   {loads, nowMs}: ChoiceContext,
 ): readonly Registration[] {
-  const silent = (e: Registration) => isSilent(loads, e.id, nowMs);
-  if (serving.filter(silent).length > serving.length / 2) return endpoints;
-  return endpoints.filter(e => !silent(e));
+  const silent = silentEndpoints(serving, loads, nowMs);
+  return silent.size === 0
+    ? endpoints
+    : endpoints.filter(e => !silent.has(e.id));
+}
+
+/**
+ * Ids of the endpoints whose reports have stopped. If those of most have, the
+ * reports are at fault and not the endpoints, and there are none.
+ */
+export function silentEndpoints(
+  serving: readonly Registration[],
+  loads: Loads,
+  nowMs: number,
+): ReadonlySet<string> {
+  const silent = serving.filter(e => isSilent(loads, e.id, nowMs));
+  if (silent.length > serving.length / 2) return new Set();
+  return new Set(silent.map(e => e.id));
 }
 
 function leastLoaded(
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -219,6 +219,31 @@
     if (route.kind === 'idempotent') this.startAttemptTimer();
   }
 
+  /** Id of the endpoint that the request is at; undefined while it waits. */
+  get currentEndpoint(): string | undefined {
+    return this.endpoint?.id;
+  }
+
+  /**
+   * Sends the request to another endpoint if it may run again and the present
+   * one, whose reports have stopped, should have begun to answer by now.
+   */
+  leaveSilentEndpoint(): void {
+    if (this.over || !this.attempt || this.head) return;
+    const nowMs = this.deps.clock.elapsedMs();
+    const {targetLatencyMs} = this.incoming.route;
+    if (nowMs - this.startedMs < targetLatencyMs) return;
+    const attempts = countAttempt(this.attempts, 'broken');
+    const conditions = {leftMs: this.deadlineMs - nowMs, withinBudget: true};
+    if (nextStep(attempts, 'broken', conditions) !== 'retry') return;
+    if (!this.dispatcher.takeRetry(this)) return;
+    this.attempt.abort();
+    this.recordAttempt('broken', 'reports of the endpoint have stopped');
+    this.attempts = attempts;
+    this.releaseAttempt('none');
+    this.dispatcher.place(this);
+  }
+
   /** Refuses the request, as not run if that is certain. */
   refuse(reason: string, retryAfterMs?: number): void {
     if (this.over) return;
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -8,7 +8,7 @@
 import {CrashMonitor} from '../src/gateway/crashmonitor';
 import {RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
-import {Clock} from '../src/kernel/clock';
+import {Clock, Timer} from '../src/kernel/clock';
 import {Endpoint, EndpointLoad, Route} from '../src/gateway/model';
 
 export const RETRY_RATIO = 0.2;
@@ -207,6 +207,8 @@
       const result = {outcome: '', status: 0, tries: []};
       dispatcher.finishExchange(exchange as unknown as Exchange, result);
     };
+    let end: Timer | undefined;
+    let sentMs = 0;
     const exchange = {
       incoming: {
         service: 's',
@@ -218,17 +220,34 @@
       deadlineMs: arrivedMs + ROUTE.timeoutMs,
       triedEndpoints: new Set<string>(),
       hasEnded: false,
+      currentEndpoint: undefined as string | undefined,
       refuse: finish,
+      leaveSilentEndpoint: () => {
+        const id = exchange.currentEndpoint;
+        const waitedMs = this.clock.elapsedMs() - sentMs;
+        const sent = exchange as unknown as Exchange;
+        if (id === undefined || waitedMs < ROUTE.targetLatencyMs) return;
+        if (exchange.triedEndpoints.size >= ROUTE.maxAttempts) return;
+        if (!dispatcher.takeRetry(sent)) return;
+        end?.cancel();
+        this.countRunning(id, -1);
+        exchange.currentEndpoint = undefined;
+        dispatcher.releaseEndpoint(sent, id, 'none');
+        dispatcher.place(sent);
+      },
       send: ({id}: Endpoint) => {
         const isRetry = exchange.triedEndpoints.size > 0;
         exchange.triedEndpoints.add(id);
+        exchange.currentEndpoint = id;
         const nowMs = this.clock.elapsedMs();
+        sentMs = nowMs;
         const arrival = {endpoint: id, ms: nowMs, isRetry};
         this.arrivals.push(arrival);
         this.countRunning(id, 1);
         const {ms, outcome} = this.settings.treat(id, nowMs);
-        this.clock.after(ms, () => {
+        end = this.clock.after(ms, () => {
           this.countRunning(id, -1);
+          exchange.currentEndpoint = undefined;
           if (outcome === 'unanswered') this.abandoned.push(arrival);
           const sent = exchange as unknown as Exchange;
           dispatcher.releaseEndpoint(sent, id, EVIDENCE[outcome]);
