Tests of the path: wait for what the next step needs

"retries a non-idempotent request only if it certainly did not run" and "discards an answer to another request" failed since the pause of the table watch: the first test ended when the entry knew one of the two endpoints, and the others took for granted that it knew both. It now waits until both have got a request.

--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -175,6 +175,11 @@
     register('i-1', first.address);
     register('i-2', second.address);
     await waitUntil(isReady, 'the entry to be ready');
+    // Both endpoints are known, whichever polls have brought them.
+    await waitUntil(async () => {
+      await send('/look/1');
+      return [first, second].every(e => e.receivedRequests.length > 0);
+    }, 'requests at both endpoints');
   });
 
   it('skips table rows that are not valid', async () => {
@@ -493,9 +498,14 @@
     let silent: net.Socket | undefined;
     const leaving: Promise<unknown>[] = [];
     while (first.receivedRequests.length === 0) {
+      const before = arrivals().length;
       const left = send('/look/silent', {onSocket: s => (silent = s)});
       leaving.push(left.catch(() => undefined));
-      await new Promise(done => setTimeout(done, 20));
+      // A second one must not reach the first endpoint.
+      await waitUntil(
+        () => arrivals().length > before,
+        'the request to arrive',
+      );
     }
     while (first.receivedRequests.length < 2) await send('/look/1');
     silent!.destroy();
