Map change: forget the reported hold of a rank that has been released

Cause: the last report of the held rank was older than its release. It counted as a hold that another coordinator had left, 0.25 s later the coordinator began to clear it, its order was refused, and the refusal put off the next change by two seconds.

Change: the accepted release removes the hold from the rank's report.

Measured: mapchange.test.ts, "does not clear a hold that it has released itself", failed before and passes after.

--- a/src/ranks/mapchange.ts
+++ b/src/ranks/mapchange.ts
@@ -376,11 +376,12 @@
 
 /** Records that a rank is no longer held; ends the change after the last. */
 function removeHeldRank(
-  state: ChangeState,
+  before: ChangeState,
   phase: ReleasingPhase,
   rank: number,
   {nowMs}: ChangeContext,
 ): ChangeDecision {
+  const state = withoutReportedHold(before, rank, phase.pass);
   const heldRanks = new Set([...phase.heldRanks].filter(r => r !== rank));
   if (heldRanks.size > 0) {
     return {state: {...state, phase: {...phase, heldRanks}}, orders: []};
@@ -390,6 +391,21 @@
   return {state: {...state, phase: idle, target: undefined}, orders: []};
 }
 
+/**
+ * The last report may be older than the release. Its hold would count as one
+ * that another coordinator left.
+ */
+function withoutReportedHold(
+  state: ChangeState,
+  rank: number,
+  pass: number,
+): ChangeState {
+  const report = state.reports.get(rank);
+  if (report?.held !== pass) return state;
+  const released = {...report, held: undefined};
+  return {...state, reports: new Map(state.reports).set(rank, released)};
+}
+
 function handleTick(
   state: ChangeState,
   context: ChangeContext,
--- a/test/mapchange.test.ts
+++ b/test/mapchange.test.ts
@@ -6,9 +6,35 @@
  * coordinators at once.
  */
 import {expect} from 'chai';
+import {decideChange} from '../src/ranks/mapchange';
+import {
+  ChangeInput,
+  ChangeState,
+  holdRankOf,
+  initialChangeState,
+} from '../src/ranks/mapchangestate';
+import {RankReport} from '../src/ranks/rank';
 import {runMapChange} from './fuzz/mapchange';
 import {NO_FAULTS, World} from './fuzz/mapchange-world';
 
+function report(rank: number, held: number | undefined): RankReport {
+  return {
+    group: 'g',
+    epoch: 1,
+    rank,
+    size: 2,
+    open: true,
+    pass: 8,
+    map: 1,
+    prepared: undefined,
+    armed: undefined,
+    held,
+    running: 1,
+    queued: 0,
+    pace: 1,
+  };
+}
+
 const STEPS = 2_000;
 const SEEDS = 20;
 
@@ -25,6 +51,37 @@
     expect(world.pass).to.be.above(held + 3);
   });
 
+  it('does not clear a hold that it has released itself', () => {
+    // The last report of the held rank is older than the release.
+    const [ownRank, size, epoch, pass] = [0, 2, 1, 9];
+    const heldRank = holdRankOf(ownRank, size);
+    let state: ChangeState = {
+      ...initialChangeState(ownRank, size, epoch),
+      reports: new Map([
+        [ownRank, report(ownRank, undefined)],
+        [heldRank, report(heldRank, pass)],
+      ]),
+      phase: {
+        kind: 'releasing',
+        pass,
+        heldRanks: new Set([heldRank]),
+        retryAtMs: 60,
+        committed: true,
+      },
+    };
+    const decide = (input: ChangeInput, nowMs: number) => {
+      const context = {nowMs, inUse: undefined, random: () => 0};
+      const holdingRanks = new Set<number>();
+      state = decideChange(state, input, {...context, holdingRanks}).state;
+    };
+    const order = {kind: 'go', pass} as const;
+    decide({kind: 'answer', rank: heldRank, order, outcome: 'accepted'}, 10);
+    for (let nowMs = 70; nowMs <= 1_000; nowMs += 60) {
+      decide({kind: 'tick'}, nowMs);
+      expect(state.phase.kind).to.equal('idle');
+    }
+  });
+
   it('completes and clears changes in the fuzz model', () => {
     // A model in which no change succeeds, or none fails, would find no fault.
     const calm = runMapChange(5, STEPS);
