Load reports: subscribe to a sidecar as soon as its endpoint is known

An entry that has just started had no load reports, and so no share of the free slots, for up to two seconds; all entries that start together crowd the same endpoints then. It now subscribes within 0.1 s of learning of an endpoint.

--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -33,8 +33,13 @@
   readonly share?: number;
 }
 
-/** Interval between subscriptions, in milliseconds. */
+/** Interval between subscriptions to a sidecar, in milliseconds. */
 const SUBSCRIBE_INTERVAL_MS = 2_000;
+/**
+ * Interval at which due subscriptions are sent. A gateway that has just started
+ * has no reports, and without them it may send more than its share.
+ */
+const SUBSCRIBE_CHECK_INTERVAL_MS = 100;
 /** Three subscriptions may be lost before a gateway is dropped. */
 const SUBSCRIPTION_TIMEOUT_MS = 7_000;
 /** Interval at which an unchanged load is sent again, in milliseconds. */
@@ -58,6 +63,8 @@
     string,
     {readonly limitPerS: number; readonly ms: number}
   >();
+  /** When each sidecar was last subscribed to, by host. */
+  private readonly subscribedMs = new Map<string, number>();
   private readonly datagrams: DatagramSocket;
 
   constructor(
@@ -80,7 +87,7 @@
 
   async start(): Promise<void> {
     await this.datagrams.listen(this.deps.self);
-    this.timer = repeatEvery(this.deps.clock, SUBSCRIBE_INTERVAL_MS, () =>
+    this.timer = repeatEvery(this.deps.clock, SUBSCRIBE_CHECK_INTERVAL_MS, () =>
       this.subscribe(),
     );
   }
@@ -103,9 +110,18 @@
 
   private subscribe(): void {
     const {port} = this.deps.self;
-    for (const {host, slots} of this.deps.endpoints()) {
+    const nowMs = this.deps.clock.elapsedMs();
+    const endpoints = this.deps.endpoints();
+    for (const {host, slots} of endpoints) {
+      const sentMs = this.subscribedMs.get(host) ?? -Infinity;
+      if (nowMs - sentMs < SUBSCRIBE_INTERVAL_MS) continue;
+      this.subscribedMs.set(host, nowMs);
       this.datagrams.send({kind: 'subscribe', slots}, {host, port});
     }
+    const hosts = new Set(endpoints.map(e => e.host));
+    for (const host of this.subscribedMs.keys()) {
+      if (!hosts.has(host)) this.subscribedMs.delete(host);
+    }
   }
 }
 
