--- a/test/platformentries.ts
+++ b/test/platformentries.ts
@@ -8,6 +8,8 @@
   readonly program: Program;
   /** Address for callers. */
   readonly address: string;
+  /** UDP port for load reports. */
+  readonly peerPort: number;
 }
 
 export async function startEntries(
@@ -18,13 +20,14 @@
   const entries: PlatformEntry[] = [];
   for (let i = 0; i < count; i++) {
     const address = `127.0.0.1:${await freePort()}`;
+    const peerPort = await freePort();
     const deployment: Deployment = {
       instance: `entry-${i}`,
       zone: 'z1',
       ip: '127.0.0.1',
       callers: address,
       readiness: undefined,
-      peerPort: await freePort(),
+      peerPort,
       metricsPort: 0,
       endpoint: undefined,
       service: undefined,
@@ -40,7 +43,7 @@
     };
     const program = wirePlatformEntry(deployment);
     await program.start();
-    entries.push({program, address});
+    entries.push({program, address, peerPort});
   }
   return entries;
 }
