Endpoint choice: use room without a share when nothing else waits

Callers were refused although four in ten slots were free, and a backlog that met empty endpoints exceeded their slots.

Cause: with 43 gateways a share is often less than one request and changes two to four times a second, while a request waits 0.16 s. Half full was the limit up to which endpoints could be used without one; below it, every gateway could send all that waited.

Change: the limit is 0.7 of the slots while most endpoints are below it, and only a request that is alone at its gateway may use it.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -393,6 +393,9 @@
       nowMs,
       random: this.random,
       withinRate: endpoint => this.withinRate(endpoint, nowMs),
+      hasBacklog: this.queueOf(service).waiting.some(
+        ({request}) => request !== exchange,
+      ),
     });
   }
 
--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -13,9 +13,10 @@
  * on a slow rank slow down the whole group, so it gets new ones only if no other
  * endpoint has room.
  *
- * Where few endpoints serve many gateways, a share is often less than one
- * request. While most endpoints are at most half full, these may be used without
- * one: the load is low then, and requests without a share are spread over them.
+ * A gateway's share changes a few times a second, and with many gateways it is
+ * often less than one request. While most endpoints have room, a request that is
+ * alone at its gateway may therefore use one of these without a share. A
+ * backlog may not: when all endpoints become free at once, every gateway has one.
  *
  * An endpoint whose reports have stopped may be on a machine that has stopped.
  * It cannot see that callers leave, and to a gateway that only counts its own
@@ -43,6 +44,8 @@
   readonly random: () => number;
   /** Whether the endpoint, if cold or limited, may get a request now. */
   readonly withinRate: (endpoint: Registration) => boolean;
+  /** Whether other requests for the service wait at this gateway. */
+  readonly hasBacklog: boolean;
 }
 
 export type Choice =
@@ -53,7 +56,7 @@
   | {readonly kind: 'none'};
 
 /** Part of its slots up to which an endpoint may be used without a share. */
-const MAX_FILL_WITHOUT_SHARE = 0.5;
+const MAX_FILL_WITHOUT_SHARE = 0.7;
 
 /** Endpoints within this many requests of the least loaded count as equal. */
 const NEARLY_EQUAL_REQUESTS = 1;
@@ -83,12 +86,13 @@
   if (allowed.length > 0) {
     return {kind: 'endpoint', endpoint: leastLoaded(allowed, context)};
   }
-  const halfEmpty = available.filter(
+  if (context.hasBacklog) return {kind: 'full'};
+  const roomy = available.filter(
     e =>
       estimatedRequests(loads, e.id, nowMs) <= e.slots * MAX_FILL_WITHOUT_SHARE,
   );
-  if (halfEmpty.length <= usable.length / 2) return {kind: 'full'};
-  return {kind: 'endpoint', endpoint: pickOne(halfEmpty, context.random)};
+  if (roomy.length <= usable.length / 2) return {kind: 'full'};
+  return {kind: 'endpoint', endpoint: pickOne(roomy, context.random)};
 }
 
 function withoutSilent(
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -369,6 +369,7 @@
     nowMs: 0,
     random: () => 0.99,
     withinRate: () => true,
+    hasBacklog: false,
   };
   const report = (id: string, running: number, open = true, pace = 1) =>
     applyReport(
