Clearing: accept what the reports of the ranks show

A group stayed held while the answers to the orders of its coordinator were late, although every rank had carried them out.

Cause: clearing counted accepted answers only, and each repeat of an order has a new version, so it never ended while answers came later than their timeout.

Change: a rank that is not armed and reports a version that this coordinator has ordered since clearing began counts as cleared; like after an accepted answer, it refuses lower versions. A hold of a live coordinator is left to it for 1.2 s at most, which bounds the time if that one cannot release it. The sidecar's cached experts are kept by group and rank as well, and orders to prepare of a change do not delay its clearing.

--- a/src/ranks/agent.ts
+++ b/src/ranks/agent.ts
@@ -99,8 +99,7 @@
   private role: CoordinatorRole = {leading: false, holding: false};
   /** The engine's counts when a coordinator last asked for the choices. */
   private lastCounts: {epoch: number; counts: readonly number[]} | undefined;
-  private cachedExperts:
-    {version: number; epoch: number; experts: RankExperts} | undefined;
+  private cachedExperts: {key: string; experts: RankExperts} | undefined;
 
   constructor(
     private readonly engine: Engine,
@@ -148,16 +147,14 @@
     return {...answer, experts: await this.experts(report)};
   }
 
-  private async experts({epoch, map}: RankReport): Promise<RankExperts> {
-    if (
-      this.cachedExperts?.version !== map ||
-      this.cachedExperts.epoch !== epoch
-    ) {
+  private async experts(report: RankReport): Promise<RankExperts> {
+    const key = rankMapKey(report);
+    if (this.cachedExperts?.key !== key) {
       const {version: readVersion, experts} = await this.engine.experts();
       // The rank switched maps between the two reads; the next poll sees it.
-      if (readVersion !== map)
+      if (readVersion !== report.map)
         throw new Error('expert map changed between two reads');
-      this.cachedExperts = {version: map, epoch, experts};
+      this.cachedExperts = {key, experts};
     }
     return this.cachedExperts.experts;
   }
--- a/src/ranks/clearing.ts
+++ b/src/ranks/clearing.ts
@@ -38,6 +38,11 @@
 
 /** A hold that belongs to no current change is cleared after this time. */
 const STRAY_HOLD_TIMEOUT_MS = 250;
+/**
+ * The same if its coordinator is alive. It may not be able to release its hold,
+ * and callers give up after two seconds.
+ */
+const LIVE_HOLD_TIMEOUT_MS = 1_200;
 
 /** Begins to cancel this coordinator's change, including late orders to arm. */
 export function startClearingOwnChange(
@@ -256,12 +261,13 @@
     isOwnChange &&
     report.armed !== undefined &&
     coordinatorOfVersion(report.armed, state.size) !== state.ownRank;
-  if (phase.reportedRanks.has(rank) && !supersededByAnother)
-    return {state, orders: []};
+  // The answer to the order to prepare was lost or late.
+  const isCleared = supersededByAnother || showsClearing(state, phase, report);
+  if (phase.reportedRanks.has(rank) && !isCleared) return {state, orders: []};
   const next: ClearingPhase = {
     ...phase,
     reportedRanks: new Set([...phase.reportedRanks, rank]),
-    clearedRanks: supersededByAnother
+    clearedRanks: isCleared
       ? new Set([...phase.clearedRanks, rank])
       : phase.clearedRanks,
   };
@@ -272,6 +278,23 @@
     : {state: after, orders: []};
 }
 
+/**
+ * Whether a report shows that the rank is not armed and has accepted a version
+ * that this coordinator has ordered since clearing began.
+ */
+function showsClearing(
+  {ownRank, size}: ChangeState,
+  {ownHoldConfirmed, versionAtStart}: ClearingPhase,
+  {armed, prepared = 0}: RankReport,
+): boolean {
+  return (
+    ownHoldConfirmed &&
+    armed === undefined &&
+    prepared > versionAtStart &&
+    coordinatorOfVersion(prepared, size) === ownRank
+  );
+}
+
 /** Whether every rank was armed before this coordinator's process restarted. */
 function areAllRanksArmed(state: ChangeState, phase: ClearingPhase): boolean {
   const {ownRank, size, reports} = state;
@@ -340,15 +363,17 @@
   const heldReports = [...state.reports.values()].filter(
     r => r.held !== undefined,
   );
-  const isOfLiveCoordinator = ({rank}: RankReport) =>
-    context.holdingRanks.has(coordinatorOfHoldRank(rank, state.size));
-  if (heldReports.length === 0 || heldReports.some(isOfLiveCoordinator)) {
+  if (heldReports.length === 0) {
     return {state: {...state, strayHoldSinceMs: undefined}, orders: []};
   }
   const since = state.strayHoldSinceMs ?? context.nowMs;
   const next = {...state, strayHoldSinceMs: since};
-  if (context.nowMs - since < STRAY_HOLD_TIMEOUT_MS)
-    return {state: next, orders: []};
+  const isOfLiveCoordinator = ({rank}: RankReport) =>
+    context.holdingRanks.has(coordinatorOfHoldRank(rank, state.size));
+  const timeoutMs = heldReports.some(isOfLiveCoordinator)
+    ? LIVE_HOLD_TIMEOUT_MS
+    : STRAY_HOLD_TIMEOUT_MS;
+  if (context.nowMs - since < timeoutMs) return {state: next, orders: []};
   const pass = Math.min(...heldReports.map(r => r.held!));
   const ranks = heldReports.filter(r => r.held === pass).map(r => r.rank);
   const {ownRank, size} = state;
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -363,6 +363,8 @@
       if (state.phase.kind === 'releasing' && state.phase.committed) {
         this.completedCount += 1;
       }
+      // Clearing orders another map; what is in flight must not delay it.
+      if (state.phase.kind === 'clearing') this.preparingRanks.clear();
       if (before.phase.kind === 'releasing') {
         this.releasedMs = clock.elapsedMs();
       }
