Gateway: send nothing new to an endpoint that says it is leaving

What callers saw: an endpoint that was about to end and said so with `Server-Leaving: 1` still got new requests until its registration changed (DRAIN).

Cause: the header was not read; only a registration that says `draining` or is gone ended the use of an endpoint.

Change: an answer that names the request and is no 421 makes its endpoint unavailable for this entry, until a registration under its id names another start. Unavailable endpoints are left out before any other choice, so that no fallback list holds one. If this leaves none, requests are refused at once. Streams that run there go on, and answers are passed on as before.

--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -197,12 +197,14 @@
 
 /**
  * Endpoints of a service that may get new requests; if none is registered,
- * those whose registration has gone recently.
+ * those whose registration has gone recently. Neither holds an endpoint that
+ * `isAvailable` rejects.
  */
 export function servingEndpoints(
   catalog: Catalog,
   service: string,
   nowMs: number,
+  isAvailable: (id: string) => boolean = () => true,
 ): readonly Registration[] {
   const serving: Registration[] = [];
   const lapsed: Registration[] = [];
@@ -210,6 +212,7 @@
     if (endpoint.draining) continue;
     if (catalog.zonesOut.has(endpoint.zone)) continue;
     if (endpoint.excludedUntilMs > nowMs) continue;
+    if (!isAvailable(endpoint.id)) continue;
     if (endpoint.goneSinceMs === undefined) serving.push(endpoint);
     else if (nowMs - endpoint.goneSinceMs <= LAPSED_USE_MS)
       lapsed.push(endpoint);
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -46,6 +46,14 @@
 import {Endpoint, EndpointLoad, Prompt} from './model';
 import {retryDelayMs, updateMeanMs, waitLimit} from './waitlimit';
 import {emptyLastSends, isWithinRate} from './sharedrate';
+import {
+  applyRegistration,
+  isOtherProcess,
+  isUnavailable,
+  markLeaving,
+  noUnavailableEndpoints,
+  UnavailableEndpoints,
+} from './unavailability';
 import {
   countPlaced,
   emptyQueue,
@@ -110,6 +118,9 @@
   none: 'unknown',
 };
 
+/** Why an endpoint is no longer counted as unavailable. */
+type AvailabilityCause = 'other process' | 'forgotten';
+
 export class RequestDispatcher implements Dispatcher {
   private catalog: Catalog = emptyCatalog;
   private loads: Loads = emptyLoads;
@@ -123,6 +134,7 @@
   private readonly phases = new Map<string, number>();
   /** Limits that endpoints have named, in requests per second, by id. */
   private readonly limitsPerS = new Map<string, number>();
+  private unavailable = noUnavailableEndpoints;
   private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
   /** Requests that have not ended. */
   private readonly active = new Set<Exchange>();
@@ -186,6 +198,10 @@
     for (const [id, registered] of change) {
       const endpoint = registered === 'invalid' ? undefined : registered;
       if (endpoint) this.crashes.handleRegistration(endpoint);
+      if (endpoint) {
+        const next = applyRegistration(this.unavailable, endpoint);
+        this.setUnavailable(next, 'other process');
+      }
       if (!endpoint) this.forgetRates(id);
       else if (!this.phases.has(id)) this.phases.set(id, this.random());
       this.log('info', 'endpoint', {
@@ -243,6 +259,36 @@
     });
   }
 
+  reportLeaving(endpoint: Registration): void {
+    if (this.isReplaced(endpoint)) return;
+    const next = markLeaving(this.unavailable, endpoint);
+    this.setUnavailable(next, 'forgotten');
+  }
+
+  /** Whether another process has registered since a request was sent. */
+  private isReplaced(endpoint: Registration): boolean {
+    const registered = this.catalog.endpoints.get(endpoint.id);
+    return registered !== undefined && isOtherProcess(registered, endpoint);
+  }
+
+  /** `cause` is logged for endpoints that are not in `next` any more. */
+  private setUnavailable(
+    next: UnavailableEndpoints,
+    cause: AvailabilityCause,
+  ): void {
+    const before = this.unavailable;
+    this.unavailable = next;
+    if (next === before) return;
+    for (const [endpoint, {reason}] of before) {
+      if (next.has(endpoint)) continue;
+      this.log('info', 'endpoint available again', {endpoint, reason, cause});
+    }
+    for (const [endpoint, {reason}] of next) {
+      if (before.get(endpoint)?.reason === reason) continue;
+      this.log('info', 'endpoint unavailable', {endpoint, reason, ms: null});
+    }
+  }
+
   private forgetRates(id: string): void {
     this.phases.delete(id);
     this.limitsPerS.delete(id);
@@ -273,7 +319,10 @@
       meanAnswerMs: this.meanAnswerMs.get(service) ?? route.targetLatencyMs,
     });
     const choice = this.chooseFor(exchange);
-    if (choice.kind === 'none' && (callerMayRetry || untilMs <= nowMs)) {
+    if (
+      choice.kind === 'unavailable' ||
+      (choice.kind === 'none' && (callerMayRetry || untilMs <= nowMs))
+    ) {
       return this.refuseForNoEndpoint(exchange);
     }
     if (choice.kind === 'endpoint' && queue.waiting.length === 0) {
@@ -382,10 +431,22 @@
     this.onEnd(exchange, result);
   }
 
-  private chooseFor(exchange: Exchange): Choice {
+  private chooseFor(
+    exchange: Exchange,
+  ): Choice | {readonly kind: 'unavailable'} {
     const nowMs = this.clock.elapsedMs();
     const {service} = exchange.incoming;
-    const serving = servingEndpoints(this.catalog, service, nowMs);
+    const {catalog, unavailable} = this;
+    const serving = servingEndpoints(
+      catalog,
+      service,
+      nowMs,
+      id => !isUnavailable(unavailable, id, nowMs),
+    );
+    if (serving.length === 0 && !unavailable.isEmpty()) {
+      const all = servingEndpoints(catalog, service, nowMs);
+      if (all.length > 0) return {kind: 'unavailable'};
+    }
     return chooseEndpoint(serving, exchange.triedEndpoints, {
       loads: this.loads,
       avoidance: this.avoidance,
@@ -517,7 +578,8 @@
         service,
         removeRequest(this.queueOf(service), next.request),
       );
-      this.send(next.request, choice.endpoint);
+      if (choice.kind === 'unavailable') this.refuseForNoEndpoint(next.request);
+      else this.send(next.request, choice.endpoint);
     }
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -40,6 +40,8 @@
   reportMisdirected(endpoint: string): void;
   /** Called when an endpoint has answered, with the limit that it names. */
   reportLimit(endpoint: Registration, limitPerS: number | undefined): void;
+  /** Called when an endpoint has said that it is about to end. */
+  reportLeaving(endpoint: Registration): void;
   /** Takes one retry from the budget; false if there is none left. */
   takeRetry(exchange: Exchange): boolean;
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
@@ -273,6 +275,9 @@
     }
     this.head = head;
     this.answer = answer;
+    if (this.endpoint && answer.leaving && !answer.misdirected) {
+      this.dispatcher.reportLeaving(this.endpoint);
+    }
     // A rejection without a limit does not show that the limit has ended.
     const hasRun = answer.signed && !answer.notRun;
     const showsLimit = answer.limitPerS !== undefined || hasRun;
--- a/src/gateway/headercodec.ts
+++ b/src/gateway/headercodec.ts
@@ -46,6 +46,8 @@
   readonly misdirected: boolean;
   /** Requests per second that the endpoint takes from all gateways. */
   readonly limitPerS: number | undefined;
+  /** The endpoint is about to end and wants no new requests. */
+  readonly leaving: boolean;
 }
 
 /** Lists of headers alternate names and values, like Node's `rawHeaders`. */
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -9,6 +9,7 @@
 import {RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
 import {Clock, Timer} from '../src/kernel/clock';
+import {Log} from '../src/observe/log';
 import {Endpoint, EndpointLoad, Route} from '../src/gateway/model';
 
 export const RETRY_RATIO = 0.2;
@@ -32,19 +33,20 @@
   resumable: true,
 };
 
-/** A gateway's dispatcher whose logs and crash records go nowhere. */
+/** A gateway's dispatcher whose crash records go nowhere. */
 export function createDispatcher(gateway: {
   readonly instance: string;
   readonly zone: string;
   readonly clock: Clock;
   readonly random: () => number;
+  readonly log?: Log;
 }): RequestDispatcher {
-  const {instance, zone, clock, random} = gateway;
+  const {instance, zone, clock, random, log = () => undefined} = gateway;
   return new RequestDispatcher(
     {zone, retryRatio: RETRY_RATIO, retryWindowMs: RETRY_WINDOW_MS},
     clock,
     random,
-    () => undefined,
+    log,
     () => undefined,
     () => undefined,
     new CrashMonitor({
