Gateway: send nothing to an endpoint for the time its refusal names

Cause: `Retry-After` of an endpoint was not read.

Change: a 503 that names the request makes its endpoint unavailable for the time in its `Retry-After`, in seconds or as a date, which is read against the answer's own date. The longest pause counts, and a registration of another process ends it. While all endpoints of a service are unavailable, requests are refused at once and told to return when the first pause ends, or after the usual delay if that is shorter.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -2,7 +2,7 @@
  * Assigns requests to endpoints. It holds the catalog, the loads, the queues
  * and the retry budgets; each decision is made by a module of pure functions.
  */
-import {Clock} from '../kernel/clock';
+import {Clock, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {
   countFirstAttempt,
@@ -51,7 +51,10 @@
   isOtherProcess,
   isUnavailable,
   markLeaving,
+  markPaused,
+  nextEndMs,
   noUnavailableEndpoints,
+  removeElapsed,
   UnavailableEndpoints,
 } from './unavailability';
 import {
@@ -109,6 +112,9 @@
  */
 const GATEWAYS_VALID_MS = 30_000;
 
+/** Longest timer for the end of a pause; longer ones overflow in Node. */
+const MAX_PAUSE_TIMER_MS = 60_000;
+
 /** What the end of an attempt shows about the endpoint's slots. */
 const SLOT_CHANGES: Readonly<Record<EndpointEvidence, SlotChange>> = {
   works: 'freed',
@@ -118,8 +124,15 @@
   none: 'unknown',
 };
 
+/** All endpoints have said that they take no new requests. */
+interface Unavailable {
+  readonly kind: 'unavailable';
+  /** Time until the first of them may get requests again; may be infinite. */
+  readonly forMs: number;
+}
+
 /** Why an endpoint is no longer counted as unavailable. */
-type AvailabilityCause = 'other process' | 'forgotten';
+type AvailabilityCause = 'pause over' | 'other process' | 'forgotten';
 
 export class RequestDispatcher implements Dispatcher {
   private catalog: Catalog = emptyCatalog;
@@ -135,6 +148,7 @@
   /** Limits that endpoints have named, in requests per second, by id. */
   private readonly limitsPerS = new Map<string, number>();
   private unavailable = noUnavailableEndpoints;
+  private pauseTimer: Timer | undefined;
   private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
   /** Requests that have not ended. */
   private readonly active = new Set<Exchange>();
@@ -265,6 +279,32 @@
     this.setUnavailable(next, 'forgotten');
   }
 
+  reportPause(endpoint: Registration, ms: number): void {
+    if (this.isReplaced(endpoint)) return;
+    this.endPauses();
+    const untilMs = this.clock.elapsedMs() + ms;
+    const next = markPaused(this.unavailable, endpoint, untilMs);
+    this.setUnavailable(next, 'forgotten');
+    this.schedulePauseEnd();
+  }
+
+  private endPauses(): void {
+    const nowMs = this.clock.elapsedMs();
+    this.setUnavailable(removeElapsed(this.unavailable, nowMs), 'pause over');
+  }
+
+  private schedulePauseEnd(): void {
+    this.pauseTimer?.cancel();
+    const endMs = nextEndMs(this.unavailable);
+    if (endMs === Infinity) return;
+    const ms = Math.min(endMs - this.clock.elapsedMs(), MAX_PAUSE_TIMER_MS);
+    this.pauseTimer = this.clock.after(ms, () => {
+      this.endPauses();
+      this.schedulePauseEnd();
+      this.serveIfWaiting();
+    });
+  }
+
   /** Whether another process has registered since a request was sent. */
   private isReplaced(endpoint: Registration): boolean {
     const registered = this.catalog.endpoints.get(endpoint.id);
@@ -283,9 +323,11 @@
       if (next.has(endpoint)) continue;
       this.log('info', 'endpoint available again', {endpoint, reason, cause});
     }
-    for (const [endpoint, {reason}] of next) {
+    const nowMs = this.clock.elapsedMs();
+    for (const [endpoint, {reason, untilMs}] of next) {
       if (before.get(endpoint)?.reason === reason) continue;
-      this.log('info', 'endpoint unavailable', {endpoint, reason, ms: null});
+      const ms = untilMs === Infinity ? null : Math.round(untilMs - nowMs);
+      this.log('info', 'endpoint unavailable', {endpoint, reason, ms});
     }
   }
 
@@ -319,10 +361,10 @@
       meanAnswerMs: this.meanAnswerMs.get(service) ?? route.targetLatencyMs,
     });
     const choice = this.chooseFor(exchange);
-    if (
-      choice.kind === 'unavailable' ||
-      (choice.kind === 'none' && (callerMayRetry || untilMs <= nowMs))
-    ) {
+    if (choice.kind === 'unavailable') {
+      return this.refuseForNoEndpoint(exchange, choice.forMs);
+    }
+    if (choice.kind === 'none' && (callerMayRetry || untilMs <= nowMs)) {
       return this.refuseForNoEndpoint(exchange);
     }
     if (choice.kind === 'endpoint' && queue.waiting.length === 0) {
@@ -431,9 +473,7 @@
     this.onEnd(exchange, result);
   }
 
-  private chooseFor(
-    exchange: Exchange,
-  ): Choice | {readonly kind: 'unavailable'} {
+  private chooseFor(exchange: Exchange): Choice | Unavailable {
     const nowMs = this.clock.elapsedMs();
     const {service} = exchange.incoming;
     const {catalog, unavailable} = this;
@@ -445,7 +485,9 @@
     );
     if (serving.length === 0 && !unavailable.isEmpty()) {
       const all = servingEndpoints(catalog, service, nowMs);
-      if (all.length > 0) return {kind: 'unavailable'};
+      const ends = all.map(e => unavailable.get(e.id)?.untilMs ?? Infinity);
+      const forMs = Math.min(...ends) - nowMs;
+      if (all.length > 0) return {kind: 'unavailable', forMs};
     }
     return chooseEndpoint(serving, exchange.triedEndpoints, {
       loads: this.loads,
@@ -578,14 +620,17 @@
         service,
         removeRequest(this.queueOf(service), next.request),
       );
-      if (choice.kind === 'unavailable') this.refuseForNoEndpoint(next.request);
-      else this.send(next.request, choice.endpoint);
+      if (choice.kind === 'unavailable') {
+        this.refuseForNoEndpoint(next.request, choice.forMs);
+      } else this.send(next.request, choice.endpoint);
     }
   }
 
-  private refuseForNoEndpoint(exchange: Exchange): void {
+  /** `forMs` is the time for which all endpoints are unavailable, if they are. */
+  private refuseForNoEndpoint(exchange: Exchange, forMs = Infinity): void {
     const leftMs = exchange.deadlineMs - this.clock.elapsedMs();
-    exchange.refuse('no endpoint', retryDelayMs(leftMs, this.random));
+    const delayMs = retryDelayMs(leftMs, this.random);
+    exchange.refuse('no endpoint', Math.min(delayMs, this.addJitter(forMs)));
   }
 
   private addJitter(ms: number): number {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -42,6 +42,8 @@
   reportLimit(endpoint: Registration, limitPerS: number | undefined): void;
   /** Called when an endpoint has said that it is about to end. */
   reportLeaving(endpoint: Registration): void;
+  /** Called when an endpoint wants no requests for the given time. */
+  reportPause(endpoint: Registration, ms: number): void;
   /** Takes one retry from the budget; false if there is none left. */
   takeRetry(exchange: Exchange): boolean;
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
@@ -268,20 +270,24 @@
   }
 
   private handleHead(head: AnswerHead): void {
-    const answer = this.deps.headers.readAnswer(head.status, head.headers);
+    const {headers, clock} = this.deps;
+    const answer = headers.readAnswer(head.status, head.headers, clock.now());
     if (!isAnswerTo(answer, this.incoming.metadata.requestId)) {
       this.attempt?.abort();
       return this.handleAttemptEnd('broken', 'answer to another request');
     }
     this.head = head;
     this.answer = answer;
-    if (this.endpoint && answer.leaving && !answer.misdirected) {
-      this.dispatcher.reportLeaving(this.endpoint);
+    const {leaving, pauseMs, misdirected} = answer;
+    if (this.endpoint && !misdirected) {
+      if (pauseMs !== undefined)
+        this.dispatcher.reportPause(this.endpoint, pauseMs);
+      if (leaving) this.dispatcher.reportLeaving(this.endpoint);
     }
     // A rejection without a limit does not show that the limit has ended.
     const hasRun = answer.signed && !answer.notRun;
     const showsLimit = answer.limitPerS !== undefined || hasRun;
-    if (this.endpoint && showsLimit && !answer.misdirected) {
+    if (this.endpoint && showsLimit && !misdirected) {
       this.dispatcher.reportLimit(this.endpoint, answer.limitPerS);
     }
     const begun = this.passedOnHead;
--- a/src/gateway/headercodec.ts
+++ b/src/gateway/headercodec.ts
@@ -48,6 +48,8 @@
   readonly limitPerS: number | undefined;
   /** The endpoint is about to end and wants no new requests. */
   readonly leaving: boolean;
+  /** Time for which the endpoint, which refuses this request, wants no others. */
+  readonly pauseMs: number | undefined;
 }
 
 /** Lists of headers alternate names and values, like Node's `rawHeaders`. */
@@ -59,7 +61,12 @@
     headers: IncomingHttpHeaders,
     added: ForwardedMetadata,
   ): string[];
-  readAnswer(status: number, headers: IncomingHttpHeaders): AnswerMetadata;
+  /** `now` is the wall time at which the answer arrived. */
+  readAnswer(
+    status: number,
+    headers: IncomingHttpHeaders,
+    now: Date,
+  ): AnswerMetadata;
   /** The headers to send to the caller for an answer, without a length. */
   returnedHeaders(
     raw: readonly string[],
--- a/src/gateway/unavailability.ts
+++ b/src/gateway/unavailability.ts
@@ -8,8 +8,11 @@
 import {OrderedMap} from 'immutable';
 import {Endpoint} from './model';
 
-/** The endpoint is about to end. */
-export type UnavailabilityReason = 'leaving';
+export type UnavailabilityReason =
+  /** The endpoint is about to end. */
+  | 'leaving'
+  /** It has named a time for which it wants no requests. */
+  | 'pause';
 
 export interface Unavailability {
   readonly reason: UnavailabilityReason;
@@ -42,6 +45,34 @@
   });
 }
 
+/** Makes an endpoint unavailable until `untilMs`, if it is not for longer. */
+export function markPaused(
+  unavailable: UnavailableEndpoints,
+  {id, startedMs}: Endpoint,
+  untilMs: number,
+): UnavailableEndpoints {
+  const found = unavailable.get(id);
+  if (found && found.untilMs >= untilMs) return unavailable;
+  return add(unavailable, id, {reason: 'pause', untilMs, startedMs});
+}
+
+/** Drops the pauses that are over. */
+export function removeElapsed(
+  unavailable: UnavailableEndpoints,
+  nowMs: number,
+): UnavailableEndpoints {
+  return unavailable.filter(({untilMs}) => untilMs > nowMs);
+}
+
+/** Time at which the next pause ends; infinite if there is none. */
+export function nextEndMs(unavailable: UnavailableEndpoints): number {
+  let endMs = Infinity;
+  for (const {untilMs} of unavailable.values()) {
+    endMs = Math.min(endMs, untilMs);
+  }
+  return endMs;
+}
+
 export function isUnavailable(
   unavailable: UnavailableEndpoints,
   id: string,
--- a/test/leavingendpoint.test.ts
+++ b/test/leavingendpoint.test.ts
@@ -1,6 +1,6 @@
 /**
- * Endpoints that say in an answer that they are about to end, end to end over
- * loopback.
+ * Endpoints that say in an answer that they are about to end, or that they want
+ * no requests for some time, end to end over loopback.
  *
  * Guards against requests that an entry sends to such an endpoint afterwards.
  */
@@ -307,4 +307,103 @@
       }
     });
   });
+
+  describe('wants no requests for some time', () => {
+    function refusal(retryAfter: string): RequestHandler {
+      return answer(503, {...NOT_RUN, 'Retry-After': retryAfter});
+    }
+
+    /** Sends for the given time; the second endpoint is free. */
+    async function sendFor(ms: number): Promise<void> {
+      const untilMs = Date.now() + ms;
+      while (Date.now() < untilMs) {
+        await send();
+        await sleep(5);
+      }
+    }
+
+    it('gets no requests until then, and is used afterwards', async () => {
+      first.handler = refusal('2');
+      await sendUntilReceived(first);
+      await sendFor(1_900);
+      expect(first.receivedRequests).to.have.lengthOf(1);
+      first.handler = answerWith('first');
+      await sleep(150);
+      await sendUntilReceived(first);
+    });
+
+    it('gets no requests for a fraction of a second or until a date', async () => {
+      const inTwoSeconds = () => new Date(Date.now() + 2_999).toUTCString();
+      for (const [text, ms] of [
+        ['0.4', 350],
+        [inTwoSeconds(), 900],
+        ['1000000000000', 500],
+      ] as const) {
+        first.handler = refusal(text);
+        await sendUntilReceived(first);
+        await sendFor(ms);
+        expect(first.receivedRequests, text).to.have.lengthOf(1);
+        if (text !== '0.4') {
+          tests += 1;
+          register(first, {born: 1_000 + tests});
+        }
+        first.handler = answerWith('first');
+      }
+      // Another process is registered, and nothing overflowed before.
+      await sendUntilReceived(first);
+    });
+
+    for (const text of ['0', 'abc', '-1', '']) {
+      it(`is used on if that time is "${text}"`, async () => {
+        first.handler = refusal(text);
+        await sendUntilReceived(first);
+        await sendFor(500);
+        expect(first.receivedRequests.length).to.be.above(2);
+      });
+    }
+
+    it('gets two requests at most that were under way', async () => {
+      const arrivals: number[] = [];
+      let refusedMs = Infinity;
+      first.handler = async (arrival, res) => {
+        arrivals.push(Date.now());
+        await sleep(20);
+        refusedMs = Math.min(refusedMs, Date.now());
+        await refusal('2')(arrival, res);
+      };
+      const replies: Promise<Reply>[] = [];
+      const untilMs = Date.now() + 1_900;
+      while (Date.now() < untilMs) {
+        replies.push(send(), send(), send());
+        await sleep(20);
+      }
+      await Promise.all(replies);
+      const late = arrivals.filter(ms => ms > refusedMs + 500);
+      expect(arrivals).to.not.have.lengthOf(0);
+      expect(late).to.have.lengthOf.at.most(2);
+    });
+
+    it('is not used for lack of others, whose requests are told to return then', async () => {
+      register(second, {state: 'draining'});
+      await sleep(TABLE_READ_MS);
+      first.receivedRequests.length = 0;
+      first.handler = refusal('0.3');
+      await send();
+      for (const path of ['/look/1', '/order/1', '/draft/1']) {
+        const {status, headers, ms} = await send(path);
+        expect(status).to.equal(503);
+        expect(ms).to.be.below(100);
+        // The pause and up to half of it, less the time that has passed.
+        expect(Number(headers['retry-after'])).to.be.within(0.15, 0.46);
+      }
+      expect(first.receivedRequests).to.have.lengthOf(1);
+      first.handler = refusal('60');
+      await sleep(300);
+      await send();
+      const {headers} = await send();
+      // A third of the time that the caller has, or somewhat less.
+      expect(Number(headers['retry-after'])).to.be.within(0.35, 0.51);
+      expect(first.receivedRequests).to.have.lengthOf(2);
+    });
+  });
 });
--- a/test/unavailability.test.ts
+++ b/test/unavailability.test.ts
@@ -4,10 +4,12 @@
  * Guards against choices that bring such an endpoint back: as a last resort, for
  * a retry, for a waiting request or after an older registration.
  */
+import {IncomingHttpHeaders} from 'node:http';
 import {expect} from 'chai';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {VirtualClock} from '../bench/support/virtualclock';
+import {platformHeaders} from '../platform/headers';
 import {RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
 import {Endpoint} from '../src/gateway/model';
@@ -15,6 +17,8 @@
   applyRegistration,
   isUnavailable,
   markLeaving,
+  markPaused,
+  removeElapsed,
   noUnavailableEndpoints,
 } from '../src/gateway/unavailability';
 import {LogFields} from '../src/observe/log';
@@ -173,6 +177,13 @@
       goneSinceMs: undefined,
       excludedUntilMs: 0,
     };
+    if (this.random() < 0.1) {
+      const ms = this.random() < 0.02 ? 1e15 : this.random() * 3_000;
+      const nowMs = this.clock.elapsedMs();
+      const untilMs = this.untilMs.get(process) ?? -Infinity;
+      this.untilMs.set(process, Math.max(untilMs, nowMs + ms));
+      this.dispatcher.reportPause(registration, ms);
+    }
     if (this.random() < 0.02) {
       this.untilMs.set(process, Infinity);
       this.dispatcher.reportLeaving(registration);
@@ -195,18 +206,96 @@
   it('are logged once when they become unavailable and once when it ends', async () => {
     const model = new UnavailabilityModel(1);
     await model.run(STEPS);
-    const open = new Set<unknown>();
-    let ended = 0;
-    for (const {event, endpoint: id} of model.lines) {
+    const reasons = new Map<unknown, unknown>();
+    const causes = new Set<unknown>();
+    for (const {event, endpoint: id, reason, cause} of model.lines) {
       if (event === 'endpoint unavailable') {
-        expect(open.has(id)).to.equal(false);
-        open.add(id);
+        // An endpoint that has asked for a pause may leave, but not the reverse.
+        const before =
+          reason === 'leaving' ? [undefined, 'pause'] : [undefined];
+        expect(before).to.include(reasons.get(id));
+        reasons.set(id, reason);
       } else if (event === 'endpoint available again') {
-        expect(open.delete(id)).to.equal(true);
-        ended += 1;
+        expect(reasons.get(id)).to.equal(reason);
+        reasons.delete(id);
+        causes.add(cause);
       }
     }
-    expect(ended).to.be.above(0);
+    expect([...causes]).to.have.members(['pause over', 'other process']);
+  });
+});
+
+describe('endpoint that asks for a pause', () => {
+  const e = endpoint('e', 1);
+  const paused = markPaused(noUnavailableEndpoints, e, 2_000);
+
+  it('is unavailable from its answer to the end of the pause', () => {
+    expect(isUnavailable(paused, 'e', 0)).to.equal(true);
+    expect(isUnavailable(paused, 'e', 1_999)).to.equal(true);
+    expect(isUnavailable(paused, 'e', 2_000)).to.equal(false);
+    expect(removeElapsed(paused, 1_999).size).to.equal(1);
+    expect(removeElapsed(paused, 2_000).size).to.equal(0);
+  });
+
+  it('is unavailable for the longest of its pauses', () => {
+    const shorter = markPaused(paused, e, 1_000);
+    expect(isUnavailable(shorter, 'e', 1_999)).to.equal(true);
+    const longer = markPaused(shorter, e, 3_000);
+    expect(isUnavailable(longer, 'e', 2_999)).to.equal(true);
+  });
+
+  it('stays unavailable after the pause if it is leaving', () => {
+    const both = markLeaving(paused, e);
+    const again = markPaused(both, e, 3_000);
+    expect(isUnavailable(removeElapsed(again, 5_000), 'e', 5_000)).to.equal(
+      true,
+    );
+  });
+
+  it('is available to a process that registers under its id', () => {
+    const endless = markPaused(paused, e, 1e15);
+    expect(applyRegistration(endless, e)).to.equal(endless);
+    const other = applyRegistration(endless, endpoint('e', 2));
+    expect(isUnavailable(other, 'e', 0)).to.equal(false);
+  });
+
+  it('has its Retry-After read as seconds or as a date', () => {
+    const now = new Date('2026-05-04T10:00:00Z');
+    const date = 'Mon, 04 May 2026 10:00:05 GMT';
+    const read = (status: number, headers: IncomingHttpHeaders) =>
+      platformHeaders.readAnswer(status, headers, now).pauseMs;
+    const cases: readonly [string, number | undefined][] = [
+      ['2', 2_000],
+      [' 0.4 ', 400],
+      ['.5', 500],
+      ['1000000000000', 1e15],
+      ['1e12', 1e15],
+      ['0', undefined],
+      ['0.0', undefined],
+      ['-1', undefined],
+      ['abc', undefined],
+      ['abc 1', undefined],
+      ['', undefined],
+      ['NaN', undefined],
+      ['Infinity', undefined],
+      ['0x10', undefined],
+      ['2 s', undefined],
+      ['Mon, abc', undefined],
+      ['Mon, 99:99', undefined],
+      [date, 5_000],
+      ['Monday, 04-May-26 10:00:05 GMT', 5_000],
+      ['Mon May  4 10:00:05 2026', 5_000],
+      ['Mon, 04 May 2026 09:59:59 GMT', undefined],
+    ];
+    for (const [text, ms] of cases) {
+      expect(read(503, {'retry-after': text}), text).to.equal(ms);
+    }
+    const ahead = 'Mon, 04 May 2026 10:00:03 GMT';
+    expect(read(503, {'retry-after': date, date: ahead})).to.equal(2_000);
+    expect(read(503, {'retry-after': date, date: 'soon'})).to.equal(5_000);
+    expect(read(503, {})).to.equal(undefined);
+    expect(read(429, {'retry-after': '2'})).to.equal(undefined);
+    expect(read(200, {'retry-after': '2'})).to.equal(undefined);
   });
 });
 
