Entry: break off a begun stream that cannot be completed

Cause: after the first event a fault was written as one more event, and the response was ended. A recorded answer that came after the first frame ended the response as well.

Change: both destroy the connection, as they do for answers that are not streamed, so that a part of an answer does not look complete.

--- a/src/entry/replies.ts
+++ b/src/entry/replies.ts
@@ -37,13 +37,6 @@
   res.status(httpStatusOf(kind)).json(body);
 }
 
-/** The error event that ends a begun stream in place of `[DONE]`. */
-function faultEvent(requestId: string, f: Fault): string {
-  const {kind, message, run} = f;
-  const body = {error: {type: kind, message, run, requestId}};
-  return `data: ${JSON.stringify(body)}\n\n`;
-}
-
 /**
  * Writes text and calls back once the connection has taken it. Text that
  * arrives during a write is joined, so that for a slow reader only one string
@@ -156,10 +149,8 @@
       writer.write(out, onTaken);
     },
     writeRecorded: answer => sendRecorded(res, requestId, answer),
-    writeFault: f =>
-      res.headersSent
-        ? writer.end(faultEvent(requestId, f))
-        : sendFault(res, requestId, f),
+    // A fault within a begun stream would be read as a part of its text.
+    writeFault: f => sendFault(res, requestId, f),
   };
 }
 
@@ -223,7 +214,8 @@
   answer: RecordedAnswer,
 ): void {
   if (res.headersSent) {
-    res.end();
+    // What was sent is not the start of the recorded answer.
+    res.destroy();
     return;
   }
   setAnswerHeaders(res, requestId, 'ran');
