--- a/test/silentpath.test.ts
+++ b/test/silentpath.test.ts
@@ -120,6 +120,9 @@
       const arrivals = endpoints.map(e => e.receivedRequests.length);
       return reply?.status === 200 && arrivals.every(n => n > 0);
     }, 'requests at all endpoints');
+    // The entry now knows all endpoints; it reads this report before the answer.
+    report();
+    await send('/look/1');
     stopped.handler = () => undefined;
   });
 
