--- a/test/oddinstances.test.ts
+++ b/test/oddinstances.test.ts
@@ -105,8 +105,8 @@
 
   /** Whether an entry links to a sidecar that is listed after an odd record. */
   async function linksBeside(odd: string): Promise<boolean> {
-    let connections = 0;
-    const sidecar = net.createServer(() => (connections += 1));
+    const connections: net.Socket[] = [];
+    const sidecar = net.createServer(socket => connections.push(socket));
     await new Promise<void>(done => sidecar.listen(0, '127.0.0.1', done));
     const address = `127.0.0.1:${(sidecar.address() as AddressInfo).port}`;
     const directory = new PlatformDirectory(
@@ -132,6 +132,8 @@
     await directory.stop();
     await links.stop();
     sidecar.close();
-    return started && connections > 0;
+    // An open connection would keep the test process from ending.
+    connections.forEach(socket => socket.destroy());
+    return started && connections.length > 0;
   }
 });
