Logs: the timing of streams and of the passes behind them

The logs could not tell apart why: an entry logged only the whole time of a request, and nothing logged how long passes last.

Change: the line of a request has the time of its first event and its longest pause, which are histograms too. Each sidecar measures the passes of its group from the reports that it reads anyway, and logs their mean time, the requests at its rank and the map in use, twice a second at most.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -21,6 +21,7 @@
 import {LoadEstimate} from './endpointload';
 import {EventSplitter} from './eventsplitter';
 import {Account, Route} from './model';
+import {recordEvents, StreamTiming} from './streamtiming';
 import {AnswerMetadata, HeaderCodec, RequestMetadata} from './headercodec';
 import {AnswerHead, Attempt, isAnswerTo, startAttempt} from './upstream';
 
@@ -85,6 +86,8 @@
   readonly outcome: string;
   readonly status: number;
   readonly tries: readonly AttemptRecord[];
+  /** Of a stream of which events were passed on. */
+  readonly timing?: StreamTiming;
 }
 
 interface ExchangeDependencies {
@@ -139,6 +142,7 @@
   private bodyBytes = 0;
   /** Events of the current attempt. */
   private events = 0;
+  private timing: StreamTiming | undefined;
   private over = false;
   private readonly timers: Timer[] = [];
   private attemptTimer: Timer | undefined;
@@ -320,7 +324,9 @@
   private passOn(bytes: Buffer, events: number): void {
     this.events += events;
     if (this.events > 1) this.dispatcher.reportProgress(this);
-    const {res} = this.incoming;
+    const {res, arrivedMs} = this.incoming;
+    const sinceArrivalMs = this.deps.clock.elapsedMs() - arrivedMs;
+    this.timing = recordEvents(this.timing, sinceArrivalMs);
     if (!res.headersSent) this.writeAnswerHead();
     if (!res.write(bytes)) this.attempt?.pause();
   }
@@ -497,7 +503,8 @@
     this.over = true;
     for (const timer of this.timers) timer.cancel();
     this.attemptTimer?.cancel();
-    this.dispatcher.finishExchange(this, {outcome, status, tries: this.tries});
+    const {tries, timing} = this;
+    this.dispatcher.finishExchange(this, {outcome, status, tries, timing});
   }
 }
 
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -33,6 +33,8 @@
 import {Program} from './kernel/program';
 import {RankAgent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
+import {measurePasses, PassMeter} from './ranks/passtime';
+import {RankReport} from './ranks/rank';
 import {createRankClient} from './ranks/rankclient';
 
 /**
@@ -125,6 +127,11 @@
       for (const {outcome} of ended.tries) {
         registry.increment('boragemill_attempts_total', {outcome});
       }
+      if (ended.timing) {
+        const {firstEventMs, longestGapMs} = ended.timing;
+        registry.recordDuration('boragemill_first_event_ms', firstEventMs);
+        registry.recordDuration('boragemill_longest_gap_ms', longestGapMs);
+      }
       log('info', 'request', {
         request: call.requestId,
         route: route.name,
@@ -132,6 +139,8 @@
         outcome: ended.outcome,
         status: ended.status,
         ms,
+        firstEventMs: roundedMs(ended.timing?.firstEventMs),
+        longestGapMs: roundedMs(ended.timing?.longestGapMs),
         loopDelayMs: loopDelay.currentMs(),
         tries: ended.tries
           .map(t => `${t.endpoint}:${t.outcome}:${t.ms}:${t.reason ?? ''}`)
@@ -286,6 +295,10 @@
   };
 }
 
+function roundedMs(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
 /** The host of an address `IP:port`. */
 function hostOf(address: string): string {
   return address.slice(0, address.indexOf(':'));
@@ -409,6 +422,27 @@
     () => coordinator.completedChanges,
   );
   const metrics = createMetricsServer(registry);
+  let passMeter: PassMeter | undefined;
+  let lastPassMs = 0;
+  registry.registerGauge('boragemill_pass_ms', () => Math.round(lastPassMs));
+  const recordPasses = (report: RankReport) => {
+    const {meter, measured} = measurePasses(
+      passMeter,
+      report,
+      clock.elapsedMs(),
+    );
+    passMeter = meter;
+    if (!measured) return;
+    lastPassMs = measured.meanMs;
+    log('info', 'passes measured', {
+      group: report.group,
+      pass: report.pass,
+      passes: measured.passes,
+      meanMs: Math.round(measured.meanMs),
+      running: Number(measured.running.toFixed(1)),
+      map: report.map,
+    });
+  };
   let reports: Timer | undefined;
   return {
     async start() {
@@ -419,7 +453,9 @@
       await listenAt(peers, `${ip}:${peerPort}`);
       reports = repeatEvery(clock, LOAD_REPORT_INTERVAL_MS, () => {
         agent.report().then(
-          ({running, queued, group, open, pace}) => {
+          report => {
+            recordPasses(report);
+            const {running, queued, group, open, pace} = report;
             const load = {running, queued, group, open, pace};
             publisher.publish({address: endpoint, ...load});
           },
