Gateway: a stream without an event is not a complete answer

Cause: the end of an answer counted as the end of the stream as soon as its framing was complete. Only a resumed stream had to bring an event.

Change: an answer to a stream that its caller does not resume must have an event other than a comment; otherwise the attempt is broken, and is sent again or answered as of unknown outcome. A caller that resumes with its last event may still get an empty rest.

Evidence: the 8 tests of brokenhead.test.ts on streams without an event failed before (200) and pass after. Its 40 tests of heads that break off at each byte (closed and reset; with a length, chunked, without a length, after an interim answer, with a repeated header; four kinds of requests) passed before: Node's client reports each of them as an error.

--- a/src/gateway/eventsplitter.ts
+++ b/src/gateway/eventsplitter.ts
@@ -25,6 +25,7 @@
   private partialEvent: Buffer = EMPTY;
   private newEvents = 0;
   private passedUnknownPlace = false;
+  private passedEvent = false;
 
   /** Events up to and including this id are dropped as duplicates. */
   constructor(
@@ -53,6 +54,11 @@
     return !this.passedUnknownPlace;
   }
 
+  /** Whether an event, other than a comment, was complete. */
+  get hasEvent(): boolean {
+    return this.passedEvent;
+  }
+
   /** Whether the answer resumes a stream and brought no event of it yet. */
   get lacksNewEvent(): boolean {
     return this.isResumption && this.newEvents === 0;
@@ -73,6 +79,7 @@
         if (isInterrupted) break;
         this.passedUnknownPlace = true;
       }
+      this.passedEvent ||= !isComment(event);
       if (this.isNew(event)) whole.push(event);
       start = end;
     }
@@ -100,6 +107,10 @@
 function hasKnownPlace(block: Buffer): boolean {
   const id = eventId(block);
   if (id !== undefined) return id !== '' && Number.isFinite(Number(id));
+  return isComment(block);
+}
+
+function isComment(block: Buffer): boolean {
   const lines = block.toString('latin1').split(/\r?\n/);
   return lines.every(line => line === '' || line.startsWith(':'));
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -338,6 +338,14 @@
     return isSuccess(head.status) && answer.signed && !answer.notRun;
   }
 
+  /**
+   * Whether the answer must have the first event of the stream. A caller that
+   * resumes a stream may have had the last event already.
+   */
+  private beginsStream(): boolean {
+    return this.incoming.metadata.lastEventId === undefined;
+  }
+
   private handleAnswerEnd(): void {
     const {head, answer} = this;
     if (!head || !answer) return this.handleAttemptEnd('broken', 'no answer');
@@ -354,6 +362,9 @@
         'disconnected',
       );
     }
+    if (this.isStream && !this.splitter.hasEvent && this.beginsStream()) {
+      return this.handleAttemptEnd('broken', 'stream without an event');
+    }
     if (this.splitter.lacksNewEvent) {
       return this.handleAttemptEnd('broken', 'resumed without a new event');
     }
