Entry: answer all requests within the grace of a planned stop

Cause: an entry accepts requests for 3 s after SIGTERM whatever they need, waits for those that run, and exits 0.5 s before the end of the grace. Requests that wait for a slot at that time were cut as well.

Change: the dispatcher knows when the process stops. A request, a retry or a request that waits is refused as not run, with a short Retry-After, if a long answer of its service (mean and four mean deviations) would not be complete by then.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -44,7 +44,13 @@
   SlotChange,
 } from './endpointload';
 import {Endpoint, EndpointLoad, Prompt} from './model';
-import {retryDelayMs, updateMeanMs, waitLimit} from './waitlimit';
+import {
+  AnswerTime,
+  longAnswerMs,
+  retryDelayMs,
+  updateAnswerTime,
+  waitLimit,
+} from './waitlimit';
 import {emptyLastSends, isWithinRate} from './sharedrate';
 import {
   applyRegistration,
@@ -88,6 +94,9 @@
 /** Shortest Retry-After while all endpoints are full, in ms. */
 const OVERLOAD_RETRY_AFTER_MS = 800;
 
+/** Retry-After while stopping, in ms. Other gateways serve the caller at once. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
 /** Largest random share added to a Retry-After, to spread out the retries. */
 const RETRY_AFTER_JITTER = 0.5;
 
@@ -140,8 +149,10 @@
   private avoidance = emptyAvoidance;
   private retries = new Map<string, RetryState>();
   private queues = new Map<string, Queue<Exchange>>();
-  /** Mean time for a complete answer, by service. */
-  private readonly meanAnswerMs = new Map<string, number>();
+  /** Time for a complete answer, by service. */
+  private readonly answerTimes = new Map<string, AnswerTime>();
+  /** Time at which the process ends; infinite until it is stopped. */
+  private stopMs = Infinity;
   private lastSends = emptyLastSends;
   /** This gateway's place in the turns at each endpoint. */
   private readonly phases = new Map<string, number>();
@@ -351,6 +362,7 @@
 
   place(exchange: Exchange): void {
     if (exchange.hasEnded || this.rejectIfQuarantined(exchange)) return;
+    if (!this.canEndBeforeStop(exchange)) return this.refuseForStop(exchange);
     const {service, route, account, arrivedMs} = exchange.incoming;
     const queue = this.queueOf(service);
     const nowMs = this.clock.elapsedMs();
@@ -358,7 +370,8 @@
       nowMs,
       deadlineMs: exchange.deadlineMs,
       route,
-      meanAnswerMs: this.meanAnswerMs.get(service) ?? route.targetLatencyMs,
+      meanAnswerMs:
+        this.answerTimes.get(service)?.meanMs ?? route.targetLatencyMs,
     });
     const choice = this.chooseFor(exchange);
     if (choice.kind === 'unavailable') {
@@ -384,6 +397,32 @@
     this.scheduleServe();
   }
 
+  /**
+   * Stops by a time on the monotonic clock. Until then, requests are refused if
+   * they may not be answered by it; a request that was cut off then might have
+   * run, and its caller could not send it elsewhere.
+   */
+  stopBy(stopMs: number): void {
+    this.stopMs = stopMs;
+    this.serveIfWaiting();
+  }
+
+  /** Ends all requests: as not run if that is certain. */
+  endAll(): void {
+    for (const exchange of [...this.active]) this.refuseForStop(exchange);
+  }
+
+  private canEndBeforeStop({incoming, deadlineMs}: Exchange): boolean {
+    if (deadlineMs <= this.stopMs) return true;
+    const time = this.answerTimes.get(incoming.service);
+    const neededMs = time ? longAnswerMs(time) : 0;
+    return this.clock.elapsedMs() + neededMs <= this.stopMs;
+  }
+
+  private refuseForStop(exchange: Exchange): void {
+    exchange.refuse('stopping', STOPPING_RETRY_AFTER_MS);
+  }
+
   releaseEndpoint(
     exchange: Exchange,
     endpoint: string,
@@ -467,8 +506,8 @@
     this.queues.set(service, removeRequest(this.queueOf(service), exchange));
     const answered = result.tries.find(t => t.outcome === 'answered');
     if (answered) {
-      const mean = this.meanAnswerMs.get(service);
-      this.meanAnswerMs.set(service, updateMeanMs(mean, answered.ms));
+      const time = this.answerTimes.get(service);
+      this.answerTimes.set(service, updateAnswerTime(time, answered.ms));
     }
     this.onEnd(exchange, result);
   }
@@ -605,6 +644,9 @@
     for (const {request} of expired) {
       request.refuse('overload', this.addJitter(OVERLOAD_RETRY_AFTER_MS));
     }
+    for (const {request} of queue.waiting) {
+      if (!this.canEndBeforeStop(request)) this.refuseForStop(request);
+    }
     for (;;) {
       const next = nextRequest(this.queueOf(service));
       if (!next) return;
--- a/src/gateway/waitlimit.ts
+++ b/src/gateway/waitlimit.ts
@@ -77,10 +77,34 @@
   );
 }
 
-/** Weight of the newest answer in the moving average of a service. */
+/** Time that a service takes for a complete answer, in milliseconds. */
+export interface AnswerTime {
+  readonly meanMs: number;
+  /** Mean absolute deviation from the mean. */
+  readonly deviationMs: number;
+}
+
+/** Weight of the newest answer in the moving averages of a service. */
 const NEWEST_WEIGHT = 0.1;
 
-/** The mean answer time of a service after one more answer, in milliseconds. */
-export function updateMeanMs(mean: number | undefined, ms: number): number {
-  return mean === undefined ? ms : mean + (ms - mean) * NEWEST_WEIGHT;
+/** The answer time of a service after one more answer. */
+export function updateAnswerTime(
+  time: AnswerTime | undefined,
+  ms: number,
+): AnswerTime {
+  if (!time) return {meanMs: ms, deviationMs: ms / 2};
+  const {meanMs, deviationMs} = time;
+  const deviation = Math.abs(ms - meanMs);
+  return {
+    meanMs: meanMs + (ms - meanMs) * NEWEST_WEIGHT,
+    deviationMs: deviationMs + (deviation - deviationMs) * NEWEST_WEIGHT,
+  };
+}
+
+/** Deviations from the mean within which nearly all answers are complete. */
+const MAX_DEVIATIONS = 4;
+
+/** Time within which nearly all answers of a service are complete, in ms. */
+export function longAnswerMs({meanMs, deviationMs}: AnswerTime): number {
+  return meanMs + MAX_DEVIATIONS * deviationMs;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -88,6 +88,8 @@
 /** Time reserved for the process to exit before it is killed. */
 const SHUTDOWN_MARGIN_MS = 500;
 const DRAIN_POLL_INTERVAL_MS = 50;
+/** Time for answers to be sent before the process exits. */
+const LAST_ANSWERS_MS = 100;
 
 /** The program that serves callers. */
 export function wirePlatformEntry(
@@ -278,11 +280,16 @@
     async stop() {
       callerServer.drain();
       const endMs = clock.elapsedMs() + bounds.graceMs - SHUTDOWN_MARGIN_MS;
+      dispatcher.stopBy(endMs);
       await sleep(clock, DRAIN_ACCEPT_MS);
       callerServer.close();
       while (dispatcher.inFlight > 0 && clock.elapsedMs() < endMs) {
         await sleep(clock, DRAIN_POLL_INTERVAL_MS);
       }
+      if (dispatcher.inFlight > 0) {
+        dispatcher.endAll();
+        await sleep(clock, LAST_ANSWERS_MS);
+      }
       operatorWatch.stop();
       endpointWatch.stop();
       crashWatch.stop();
