Entry of the product: answer what still runs when the drain time is over

Cause: the dispatcher logged them as aborted, and the process ended.

Change: it ends each of them as at its deadline, and waits for the answers to be sent: 504 with outcome unknown, or not run if that is certain. A stream that has begun is broken off.

Evidence: the new test of stop.test.ts failed before (other side closed) and passes after.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -75,7 +75,7 @@
       readonly kind: 'toAll';
       readonly message: Extract<
         RequestMessage,
-        {readonly kind: 'lost' | 'linked' | 'silent'}
+        {readonly kind: 'lost' | 'linked' | 'silent' | 'deadline'}
       >;
     };
 
@@ -89,6 +89,8 @@
 /** An attempt without a first frame for this long counts as a failure. */
 const FIRST_FRAME_TIMEOUT_MS = 5_000;
 const FIRST_FRAME_CHECK_INTERVAL_MS = 1_000;
+/** Time for answers to be sent before the process ends, in milliseconds. */
+const LAST_ANSWERS_MS = 100;
 const DRAIN_CHECK_INTERVAL_MS = 50;
 
 export class Dispatcher {
@@ -134,7 +136,10 @@
     );
   }
 
-  /** Waits until no request is active, at most until the deadline. */
+  /**
+   * Waits until no request is active, at most until the deadline, and then ends
+   * those that are: as not run if that is certain.
+   */
   async stop(deadline: Date): Promise<void> {
     const {clock, log} = this.parts;
     while (this.active.size > 0 && clock.now() < deadline) {
@@ -142,8 +147,12 @@
         clock.after(DRAIN_CHECK_INTERVAL_MS, done),
       );
     }
-    for (const requestId of this.active.keys()) {
-      log('warn', 'request aborted by shutdown', {requestId});
+    if (this.active.size > 0) {
+      for (const requestId of this.active.keys()) {
+        log('warn', 'request aborted by shutdown', {requestId});
+      }
+      this.postToAll({kind: 'deadline'});
+      await new Promise<void>(done => clock.after(LAST_ANSWERS_MS, done));
     }
     this.firstFrameCheck?.cancel();
   }
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -114,9 +114,10 @@
     instance: string,
     zone: string,
     limits: object = {},
+    drainMs?: number,
   ): Promise<EntryProcess> {
     const process = new BinaryProcess('entry', instance, {
-      ...this.commonSettings(instance, zone),
+      ...this.commonSettings(instance, zone, drainMs),
       listen: {http: '127.0.0.1:0', grpc: '127.0.0.1:0'},
       limits,
     });
--- a/test/processes/stop.test.ts
+++ b/test/processes/stop.test.ts
@@ -16,6 +16,9 @@
 // the test notices a process that does not wait for running requests.
 const OUTPUT_TOKENS = 200;
 const ZONE = 'sk-west-1';
+/** Time after which the engine works on a request; an answer takes 2 s. */
+const STARTED_MS = 500;
+const UNKNOWN_OUTCOME_STATUS = 504;
 
 function completionRequest(prompt: string): RequestInit {
   const json = {model: 'valve', prompt, max_tokens: OUTPUT_TOKENS};
@@ -162,4 +165,22 @@
     expect(answered).to.be.above(8);
     expect(codes).to.deep.equal([0, 0, 0, 0]);
   }).timeout(60_000);
+
+  it('answers what is still running when its time is over', async () => {
+    await addSidecar();
+    const drainMs = 300;
+    const entry = await deployment.addEntry('short-stop', ZONE, {}, drainMs);
+    const {process, url} = entry;
+    await deployment.waitUntilReachable(
+      url,
+      '/v1/completions',
+      completionRequest('first'),
+    );
+    const answer = fetch(`${url}/v1/completions`, completionRequest('cut'));
+    await new Promise(done => setTimeout(done, STARTED_MS));
+    process.kill('SIGTERM');
+    const {status} = await answer;
+    expect(status).to.equal(UNKNOWN_OUTCOME_STATUS);
+    expect(await process.exited).to.equal(0);
+  }).timeout(60_000);
 });
