Ranks: limit requests to what keeps the pauses of streams short

Cause: a pass yields one event for each stream of its group. Nothing but the slots limited the requests at a rank, and with all slots filled and demand that had shifted, passes took 125 ms for a pause of 120 ms. Streams last longer in long passes, so more of them ran at once, also after the cause had gone.

Change: each sidecar measures how far the passes are stretched against the engine's declared figures, and reports how many requests may be at its rank so that the longest stretch of the last 6 s stays within the shortest pause that a route promises; never less than half of the slots. Passes that would be too long even then, such as those of a stalled group, do not count. Gateways and the shares of free slots go by the limit; without a fresh report, by the slots.

Measured: longpasses.test.ts plays 43 gateways and 72 ranks whose passes follow the engine's figures.

--- a/src/gateway/datagrams.ts
+++ b/src/gateway/datagrams.ts
@@ -24,6 +24,7 @@
     gateways: z.number().int().min(0),
     limitPerS: z.number().min(0).optional(),
     share: z.number().int().min(0).optional(),
+    requestLimit: z.number().int().min(1).optional(),
   }),
   z.object({kind: z.literal('limit'), limitPerS: z.number().min(0)}),
   z.object({kind: z.literal('gone'), address: z.string()}),
--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -26,6 +26,7 @@
 import {Avoidance, isAvoided} from './avoidance';
 import {Registration} from './catalog';
 import {
+  capacity,
   estimatedRequests,
   hasAllowance,
   isGroupOpen,
@@ -78,7 +79,8 @@
   )!;
   const withRoom = usable.filter(
     e =>
-      estimatedRequests(loads, e.id, nowMs) < e.slots && context.withinRate(e),
+      estimatedRequests(loads, e.id, nowMs) < capacity(loads, e, nowMs) &&
+      context.withinRate(e),
   );
   const notSlow = withRoom.filter(e => !isSlow(loads, e.id, nowMs));
   const available = notSlow.length > 0 ? notSlow : withRoom;
@@ -89,7 +91,8 @@
   if (context.hasBacklog) return {kind: 'full'};
   const roomy = available.filter(
     e =>
-      estimatedRequests(loads, e.id, nowMs) <= e.slots * MAX_FILL_WITHOUT_SHARE,
+      estimatedRequests(loads, e.id, nowMs) <=
+      capacity(loads, e, nowMs) * MAX_FILL_WITHOUT_SHARE,
   );
   if (roomy.length <= usable.length / 2) return {kind: 'full'};
   return {kind: 'endpoint', endpoint: pickOne(roomy, context.random)};
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -30,6 +30,8 @@
   readonly reportedMs: number;
   /** Requests that this gateway may send until the next report. */
   readonly allowance: number;
+  /** Requests that should be there at most, as of the last report. */
+  readonly requestLimit: number;
 }
 
 export type Loads = Map<string, Load>;
@@ -51,6 +53,7 @@
   pace: 1,
   reportedMs: -Infinity,
   allowance: 0,
+  requestLimit: Infinity,
 };
 
 export const emptyLoads: Loads = Map();
@@ -91,10 +94,17 @@
 ): Loads {
   const {own} = loads.get(report.id, UNKNOWN_LOAD);
   const others = Math.max(0, report.running + report.queued - own);
-  const {group, open, pace} = report;
-  const allowance = report.share ?? Infinity;
-  const load = {own, others, group, open, pace, reportedMs: nowMs, allowance};
-  return loads.set(report.id, load);
+  const {group, open, pace, requestLimit = Infinity} = report;
+  return loads.set(report.id, {
+    own,
+    others,
+    group,
+    open,
+    pace,
+    reportedMs: nowMs,
+    allowance: report.share ?? Infinity,
+    requestLimit,
+  });
 }
 
 /** Whether this gateway may send one more request to the endpoint. */
@@ -132,6 +142,19 @@
   return nowMs - reportedMs <= REPORT_VALID_MS ? own + others : own;
 }
 
+/**
+ * Requests that may be at an endpoint with so many slots: fewer than the slots
+ * if a fresh report says so.
+ */
+export function capacity(
+  loads: Loads,
+  {id, slots}: {readonly id: string; readonly slots: number},
+  nowMs: number,
+): number {
+  if (!hasFreshReport(loads, id, nowMs)) return slots;
+  return Math.min(slots, loads.get(id, UNKNOWN_LOAD).requestLimit);
+}
+
 /**
  * False if a fresh report says that the endpoint's group is broken. A rank that
  * is cut off sends no reports, so the newest report of its group counts.
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -31,6 +31,8 @@
   readonly limitPerS?: number;
   /** Free slots that the receiver may fill; undefined if unknown. */
   readonly share?: number;
+  /** Requests that should be at the endpoint at most; undefined if unknown. */
+  readonly requestLimit?: number;
 }
 
 /** Interval between subscriptions to a sidecar, in milliseconds. */
@@ -167,9 +169,9 @@
   publish(report: Omit<LoadReport, 'gateways' | 'limitPerS' | 'share'>): void {
     this.goneSent = 0;
     const nowMs = this.clock.elapsedMs();
-    const {running, queued, open, pace} = report;
+    const {running, queued, open, pace, requestLimit = Infinity} = report;
     const {limitPerS} = this;
-    const load = `${running} ${queued} ${open} ${pace} ${limitPerS}`;
+    const load = `${running} ${queued} ${open} ${pace} ${limitPerS} ${requestLimit}`;
     const due = nowMs - this.lastSent.atMs >= REPEAT_INTERVAL_MS;
     if (load === this.lastSent.load && !due) return;
     this.lastSent = {load, atMs: nowMs};
@@ -180,7 +182,7 @@
     const gateways = this.subscribers.size;
     const {slots} = this;
     const {shares, nextTurn} = divideSlots(
-      (slots ?? 0) - running - queued,
+      Math.min(slots ?? 0, requestLimit) - running - queued,
       gateways,
       this.turn,
     );
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -167,4 +167,9 @@
    * sidecar does not know the endpoint's slots.
    */
   readonly share: number | undefined;
+  /**
+   * Requests that should be at the endpoint at most; undefined if the sidecar
+   * does not limit them below the slots.
+   */
+  readonly requestLimit?: number;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -10,6 +10,7 @@
 import {createStoreClient} from '../platform/store';
 import {crashTable, endpointTable, operatorTable} from '../platform/tables';
 import {
+  Catalog,
   emptyCatalog,
   applyEndpointChange,
   applyOperatorChange,
@@ -33,8 +34,7 @@
 import {Program} from './kernel/program';
 import {RankAgent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
-import {measurePasses, PassMeter} from './ranks/passtime';
-import {RankReport} from './ranks/rank';
+import {PassObserver, PassTarget} from './ranks/passobserver';
 import {createRankClient} from './ranks/rankclient';
 
 /**
@@ -239,6 +239,7 @@
             id: found.id,
             limitPerS: report.limitPerS,
             share: report.share,
+            requestLimit: report.requestLimit,
           },
           report.gateways,
         );
@@ -324,6 +325,19 @@
   return [...hosts.values()];
 }
 
+/** The engine of a service, and the shortest pause that its routes promise. */
+function passTarget(
+  {configuration, services}: Catalog,
+  service: string,
+): PassTarget | undefined {
+  const engine = services.get(service)?.engine;
+  const gaps = (configuration?.routes ?? [])
+    .filter(({split}) => split.some(s => s.service === service))
+    .flatMap(route => route.targetGapMs ?? []);
+  if (!engine || gaps.length === 0) return undefined;
+  return {engine, gapMs: Math.min(...gaps)};
+}
+
 /** The program beside a model endpoint. */
 export function wirePlatformSidecar(
   deployment: Deployment,
@@ -429,27 +443,15 @@
     () => coordinator.completedChanges,
   );
   const metrics = createMetricsServer(registry);
-  let passMeter: PassMeter | undefined;
-  let lastPassMs = 0;
-  registry.registerGauge('boragemill_pass_ms', () => Math.round(lastPassMs));
-  const recordPasses = (report: RankReport) => {
-    const {meter, measured} = measurePasses(
-      passMeter,
-      report,
-      clock.elapsedMs(),
-    );
-    passMeter = meter;
-    if (!measured) return;
-    lastPassMs = measured.meanMs;
-    log('info', 'passes measured', {
-      group: report.group,
-      pass: report.pass,
-      passes: measured.passes,
-      meanMs: Math.round(measured.meanMs),
-      running: Number(measured.running.toFixed(1)),
-      map: report.map,
-    });
-  };
+  const passes = new PassObserver(
+    () => passTarget(catalog, service ?? ''),
+    clock,
+    log,
+  );
+  registry.registerGauge('boragemill_pass_ms', () =>
+    Math.round(passes.lastMeanMs),
+  );
+  registry.registerGauge('boragemill_request_limit', () => passes.limit ?? 0);
   let reports: Timer | undefined;
   return {
     async start() {
@@ -461,10 +463,14 @@
       reports = repeatEvery(clock, LOAD_REPORT_INTERVAL_MS, () => {
         agent.report().then(
           report => {
-            recordPasses(report);
+            passes.handleReport(report);
             const {running, queued, group, open, pace} = report;
             const load = {running, queued, group, open, pace};
-            publisher.publish({address: endpoint, ...load});
+            publisher.publish({
+              address: endpoint,
+              ...load,
+              requestLimit: passes.limit,
+            });
           },
           (error: unknown) => {
             log('debug', 'load report failed', {reason: String(error)});
--- /dev/null
+++ b/test/longpasses.test.ts
@@ -0,0 +1,169 @@
+/**
+ * Streams of ranks that run their passes together.
+ *
+ * Guards against groups whose ranks fill all slots, so that each pass lasts longer
+ * than the pause that callers accept and every stream is late, and that stay so
+ * after the load that caused it has gone.
+ */
+import {expect} from 'chai';
+import {measurePasses, PassMeter} from '../src/ranks/passtime';
+import {recordStretch, requestLimit} from '../src/ranks/requestlimit';
+import {CallerResult, ENGINE, PassModel} from './passmodel';
+
+const SEEDS = [1, 2, 3];
+const SIZE = {gateways: 43, groups: 3, ranks: 24};
+
+const NORMAL_PER_S = 190;
+const BURST_PER_S = 300;
+const BURST_FROM_MS = 3_000;
+const BURST_TO_MS = 7_000;
+const SETTLED_MS = 8_000;
+const END_MS = 12_000;
+/** Time for the last requests to be answered. */
+const ANSWER_MS = 3_000;
+
+const EVEN_SKEW = 1.2;
+/** With all slots filled, a pass takes longer than callers accept. */
+const UNEVEN_SKEW = 2;
+
+/** Worth that the users' floor asks for, as a share of what is owed. */
+const MIN_WORTH = 0.43;
+/** Worth of a late answer, as a share of one that is on time. */
+const LATE_WORTH = 0.5;
+const MIN_ON_TIME_IN_CALM = 0.95;
+
+const GAP_MS = 120;
+
+function shareOf(
+  results: readonly CallerResult[],
+  outcome: CallerResult['outcome'],
+): number {
+  return results.filter(r => r.outcome === outcome).length / results.length;
+}
+
+function worth(results: readonly CallerResult[]): number {
+  return shareOf(results, 'on time') + LATE_WORTH * shareOf(results, 'late');
+}
+
+async function run(
+  seed: number,
+  skew: number,
+  burstPerS: number,
+  endMs: number,
+): Promise<PassModel> {
+  const model = new PassModel({
+    seed,
+    ...SIZE,
+    limitsRequests: true,
+    skew: () => skew,
+    requestsPerS: nowMs =>
+      nowMs >= BURST_FROM_MS && nowMs < BURST_TO_MS ? burstPerS : NORMAL_PER_S,
+  });
+  await model.runUntil(endMs);
+  return model;
+}
+
+describe('a group whose passes would be too long with all slots filled', () => {
+  for (const seed of SEEDS) {
+    it(`serves streams on time again after a burst (seed ${seed})`, async () => {
+      const end = END_MS + ANSWER_MS;
+      const model = await run(seed, UNEVEN_SKEW, BURST_PER_S, end);
+      const after = model.sentBetween(SETTLED_MS, END_MS);
+      expect(worth(after)).to.be.at.least(MIN_WORTH);
+    }).timeout(60_000);
+  }
+
+  it('uses all slots while the passes are short', async () => {
+    const model = await run(SEEDS[0]!, EVEN_SKEW, NORMAL_PER_S, END_MS);
+    const sent = model.sentBetween(0, END_MS - ANSWER_MS);
+    expect(shareOf(sent, 'on time')).to.be.at.least(MIN_ON_TIME_IN_CALM);
+    expect(shareOf(sent, 'refused')).to.equal(0);
+  }).timeout(60_000);
+});
+
+describe('the limit on the requests at a rank', () => {
+  const {slots, stepsPerPass, stepMs, perRequestMs} = ENGINE;
+  const evenPassMs = (n: number) => stepsPerPass * (stepMs + perRequestMs * n);
+
+  function limitAfter(stretches: readonly number[], nowMs: number): number {
+    const history = stretches.reduce<ReturnType<typeof recordStretch>>(
+      (before, stretch, i) => {
+        const meanMs = stretch * evenPassMs(3);
+        const measured = {passes: 6, meanMs, running: 3};
+        return recordStretch(before, ENGINE, measured, i * 500);
+      },
+      [],
+    );
+    return requestLimit(history, ENGINE, GAP_MS, nowMs);
+  }
+
+  it('is the number of slots before passes have been measured', () => {
+    expect(requestLimit([], ENGINE, GAP_MS, 0)).to.equal(slots);
+  });
+
+  it('keeps the longest recent passes within the pause', () => {
+    const stretch = 2.1;
+    const limit = limitAfter([1.2, stretch, 1.2, 1.2], 2_000);
+    expect(limit).to.be.below(slots);
+    expect(stretch * evenPassMs(limit)).to.be.at.most(GAP_MS);
+    expect(stretch * evenPassMs(limit + 1)).to.be.above(GAP_MS);
+  });
+
+  it('rises again when the long passes are long ago', () => {
+    expect(limitAfter([2.1], 500)).to.be.below(slots);
+    expect(limitAfter([2.1], 60_000)).to.equal(slots);
+  });
+
+  it('is not below half of the slots', () => {
+    const least = Math.ceil(slots / 2);
+    const stretch = GAP_MS / evenPassMs(least) - 0.01;
+    expect(limitAfter([stretch, stretch], 1_000)).to.equal(least);
+  });
+
+  it('does not fall after a stall, which fewer requests would not end', () => {
+    expect(limitAfter([1.2, 20, 1.2], 1_500)).to.equal(slots);
+  });
+});
+
+describe('the measurement of passes', () => {
+  const report = {epoch: 1, pass: 100, running: 3, open: true};
+
+  function measure(
+    reports: readonly (Partial<typeof report> & {readonly atMs: number})[],
+  ) {
+    let meter: PassMeter | undefined;
+    return reports.flatMap(({atMs, ...changed}) => {
+      const step = measurePasses(meter, {...report, ...changed}, atMs);
+      meter = step.meter;
+      return step.measured ?? [];
+    });
+  }
+
+  it('gives the mean time of the passes between two reports', () => {
+    const measured = measure([
+      {atMs: 0},
+      {atMs: 250, pass: 103},
+      {atMs: 500, pass: 106},
+    ]);
+    expect(measured).to.deep.equal([{passes: 6, meanMs: 500 / 6, running: 3}]);
+  });
+
+  it('counts no time in which the rank had no request', () => {
+    const measured = measure([
+      {atMs: 0},
+      {atMs: 250, running: 0},
+      {atMs: 5_000, pass: 101},
+      {atMs: 5_250, pass: 102},
+    ]);
+    expect(measured).to.deep.equal([]);
+  });
+
+  it('counts no time across the formation of the group', () => {
+    const measured = measure([
+      {atMs: 0},
+      {atMs: 3_000, epoch: 2, pass: 200},
+      {atMs: 3_250, epoch: 2, pass: 203},
+    ]);
+    expect(measured).to.deep.equal([]);
+  });
+});
