--- a/test/passmodel.ts
+++ b/test/passmodel.ts
@@ -54,6 +54,13 @@
 const ABANDON_MS = 2_000;
 const MS_PER_S = 1_000;
 
+/** An attempt that was answered, as far as the dispatcher reads it. */
+const ANSWERED = {
+  endpoint: '',
+  outcome: 'answered' as const,
+  estimate: {requests: 0, reportAgeMs: undefined},
+};
+
 export interface PassModelSettings {
   readonly seed: number;
   readonly gateways: number;
@@ -70,15 +77,13 @@
 export interface CallerResult {
   readonly sentMs: number;
   outcome: 'on time' | 'late' | 'refused' | 'left' | 'running';
-  /** Of an answered request. */
-  timing?: StreamTiming;
 }
 
 interface RankRequest {
   promptTokens: number;
   eventsLeft: number;
   ended: boolean;
-  /** Called at the end of each pass that yields an event. */
+  /** Called for each event, at the end of its pass. */
   readonly emit: (isLast: boolean) => void;
 }
 
@@ -134,7 +139,6 @@
 class ModelGroup {
   pass = 0;
   private idle = true;
-  passTimes: {readonly atMs: number; readonly ms: number}[] = [];
 
   constructor(
     readonly name: string,
@@ -162,7 +166,6 @@
     const ms =
       (1 - EXPERT_SHARE) * Math.max(...times) +
       EXPERT_SHARE * mean * this.skew();
-    this.passTimes.push({atMs: this.clock.elapsedMs(), ms});
     this.clock.after(ms, () => {
       for (const {emitting} of works) {
         for (const request of emitting) {
@@ -180,9 +183,7 @@
 export class PassModel {
   readonly clock = new VirtualClock();
   readonly results: CallerResult[] = [];
-  readonly groups: readonly ModelGroup[];
-  /** Limits that the sidecars have reported. */
-  readonly limits: {readonly atMs: number; readonly limit: number}[] = [];
+  private readonly groups: readonly ModelGroup[];
   private readonly ranks = new Map<string, ModelRank>();
   private readonly gateways: RequestDispatcher[] = [];
   private readonly random: () => number;
@@ -253,7 +254,6 @@
     const limit = limitsRequests
       ? requestLimit(rank.history, ENGINE, ROUTE.targetGapMs!, nowMs)
       : ENGINE.slots;
-    this.limits.push({atMs: nowMs, limit});
     const {shares, nextTurn} = divideSlots(
       limit - running - queued,
       gateways,
@@ -297,9 +297,8 @@
 
   /** A number from a log-normal distribution. */
   private size(mean: number, max: number): number {
-    const u = Math.max(1e-9, this.random());
-    const normal =
-      Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * this.random());
+    const radius = Math.sqrt(-2 * Math.log(1 - this.random()));
+    const normal = radius * Math.cos(2 * Math.PI * this.random());
     const median = mean / Math.exp(SIZE_SPREAD ** 2 / 2);
     return Math.ceil(Math.min(max, median * Math.exp(SIZE_SPREAD * normal)));
   }
@@ -314,15 +313,13 @@
     const arrivedMs = this.clock.elapsedMs();
     let endpointId: string | undefined;
     let timing: StreamTiming | undefined;
-    const end = (outcome: CallerResult['outcome'] | undefined) => {
+    const end = (outcome: CallerResult['outcome']) => {
       request.ended = true;
       exchange.hasEnded = true;
-      if (outcome) result.outcome = outcome;
+      result.outcome = outcome;
       const ms = this.clock.elapsedMs() - arrivedMs;
       const tries =
-        outcome === 'on time' || outcome === 'late'
-          ? [{endpoint: '', outcome: 'answered' as const, ms, estimate}]
-          : [];
+        outcome === 'on time' || outcome === 'late' ? [{...ANSWERED, ms}] : [];
       const ended = {outcome: '', status: 0, tries, timing};
       dispatcher.finishExchange(exchange as unknown as Exchange, ended);
     };
@@ -346,7 +343,6 @@
           const isOnTime =
             timing.firstEventMs <= ROUTE.targetLatencyMs &&
             timing.longestGapMs <= ROUTE.targetGapMs!;
-          result.timing = timing;
           end(isOnTime ? 'on time' : 'late');
         });
       },
@@ -402,5 +398,3 @@
     return true;
   }
 }
-
-const estimate = {requests: 0, reportAgeMs: undefined};
