Placement: search in slices, without allocating for each step it considers

Callers saw late streams: on groups of 20 and 64 ranks the coordinator neither answered nor sent orders while it searched for a better map, and a group that it held waited for it.

Cause: the search ran in one piece. For 64 ranks, 12 sets and 256 experts it took 194 ms of a whole core of this machine (20 ranks: 95 ms); a sidecar has 0.4 of a core, and of it 0.15 in the small twin. Each step that it considered built a map of changed loads and took a root.

The search now sums the changed terms directly, takes the root only of sums that improve on the best, and yields after 10 ms. The new test fails without the slices, because improveMap never waits.

--- a/src/ranks/placement.ts
+++ b/src/ranks/placement.ts
@@ -11,6 +11,7 @@
  *
  * Skew is the largest load of a set's ranks divided by their mean load.
  */
+import {Clock} from '../kernel/clock';
 import {RankMap} from './rank';
 
 export interface PlacementLimits {
@@ -50,25 +51,36 @@
 class SetLayout {
   /** Ranks that hold each expert. */
   readonly holders: number[][];
+  /** Experts that each rank holds. */
+  readonly ranks: number[][];
   /** Load of each rank. */
   readonly loads: number[];
   readonly mean: number;
-  /** Each rank's term of the power mean, and their sum. */
-  private readonly terms: number[];
-  private termSum: number;
+  /** Each rank's term of the power mean. */
+  readonly terms: number[];
+  termSum: number;
+  /** 1 at `rank * experts + expert` if the rank holds the expert. */
+  private readonly held: Uint8Array;
+  /** The same for the map in use, which the search does not change. */
+  private readonly heldBefore: Uint8Array;
 
   constructor(
-    /** Experts that each rank holds. */
-    readonly ranks: Set<number>[],
+    ranks: readonly (readonly number[])[],
     /** Share of each expert in the set's choices. */
     readonly demand: readonly number[],
     /** Slowdown of each rank; 1 if healthy. */
     readonly paces: readonly number[],
   ) {
+    this.ranks = ranks.map(held => [...held]);
     this.holders = demand.map(() => []);
+    this.held = new Uint8Array(ranks.length * demand.length);
     ranks.forEach((held, rank) => {
-      for (const expert of held) this.holders[expert]!.push(rank);
+      for (const expert of held) {
+        this.holders[expert]!.push(rank);
+        this.held[rank * demand.length + expert] = 1;
+      }
     });
+    this.heldBefore = this.held.slice();
     this.loads = ranks.map((held, rank) => {
       let sum = 0;
       for (const e of held) sum += demand[e]! / this.holders[e]!.length;
@@ -79,72 +91,134 @@
     this.termSum = sumOf(this.terms);
   }
 
-  private term(load: number): number {
-    return (load / this.mean) ** NORM_EXPONENT;
+  holds(rank: number, expert: number): boolean {
+    return this.held[rank * this.demand.length + expert] === 1;
+  }
+
+  /** Whether the rank held the expert when the search began. */
+  heldAtStart(rank: number, expert: number): boolean {
+    return this.heldBefore[rank * this.demand.length + expert] === 1;
+  }
+
+  /** A rank's term of the power mean. The exponent is `NORM_EXPONENT`. */
+  term(load: number): number {
+    const ratio = load / this.mean;
+    const squared = ratio * ratio;
+    const fourth = squared * squared;
+    const eighth = fourth * fourth;
+    return eighth * eighth;
   }
 
   skew(): number {
     return Math.max(...this.loads) / this.mean;
   }
 
-  /** A smooth approximation of the skew, with some ranks' loads replaced. */
-  smoothSkew(replacedLoads?: ReadonlyMap<number, number>): number {
-    let sum = this.termSum;
-    replacedLoads?.forEach((load, rank) => {
-      sum += this.term(load) - this.terms[rank]!;
-    });
+  /** A smooth approximation of the skew, from the sum of all ranks' terms. */
+  smoothSkew(termSum: number = this.termSum): number {
     // Rounding may leave a small negative sum.
-    return (Math.max(0, sum) / this.loads.length) ** (1 / NORM_EXPONENT);
+    const meanTerm = Math.max(0, termSum) / this.loads.length;
+    return meanTerm ** (1 / NORM_EXPONENT);
   }
 
-  /** Stores the loads after a change of one expert's holders in `newLoads`. */
-  shiftLoads(
-    expert: number,
-    added: number | undefined,
-    dropped: number | undefined,
-    newLoads: Map<number, number>,
-  ): void {
+  /** Change of the sum of terms if one rank drops an expert that others hold. */
+  termsOfDrop(rank: number, expert: number): number {
     const holders = this.holders[expert]!;
     const before = this.demand[expert]! / holders.length;
-    const count =
-      holders.length +
-      (added === undefined ? 0 : 1) -
-      (dropped === undefined ? 0 : 1);
-    const after = this.demand[expert]! / count;
-    const loadOf = (rank: number) => newLoads.get(rank) ?? this.loads[rank]!;
-    for (const rank of holders) {
-      const change = (rank === dropped ? 0 : after) - before;
-      newLoads.set(rank, loadOf(rank) + change * this.paces[rank]!);
+    const rise = this.demand[expert]! / (holders.length - 1) - before;
+    let change =
+      this.term(this.loads[rank]! - before * this.paces[rank]!) -
+      this.terms[rank]!;
+    for (const other of holders) {
+      if (other === rank) continue;
+      const load = this.loads[other]! + rise * this.paces[other]!;
+      change += this.term(load) - this.terms[other]!;
     }
-    if (added !== undefined) {
-      newLoads.set(added, loadOf(added) + after * this.paces[added]!);
+    return change;
+  }
+
+  /** Change of the sum of terms of an expert's holders if one more holds it. */
+  termsOfHolders(expert: number): number {
+    const fall = this.fallPerHolder(expert);
+    let change = 0;
+    for (const rank of this.holders[expert]!) {
+      const load = this.loads[rank]! - fall * this.paces[rank]!;
+      change += this.term(load) - this.terms[rank]!;
+    }
+    return change;
+  }
+
+  /**
+   * Change of the sum of terms if a rank adds an expert and drops another one,
+   * if any, without what `termsOfHolders` counts already.
+   */
+  termsOfAdd(rank: number, added: number, dropped: number | undefined): number {
+    const share = this.demand[added]! / (this.holders[added]!.length + 1);
+    const pace = this.paces[rank]!;
+    let load = this.loads[rank]! + share * pace;
+    let change = 0;
+    if (dropped !== undefined) {
+      const holders = this.holders[dropped]!;
+      const before = this.demand[dropped]! / holders.length;
+      const rise = this.demand[dropped]! / (holders.length - 1) - before;
+      load -= before * pace;
+      for (const other of holders) {
+        if (other === rank) continue;
+        const otherPace = this.paces[other]!;
+        const relieved = this.holds(other, added);
+        const otherLoad = relieved
+          ? this.loads[other]! - this.fallPerHolder(added) * otherPace
+          : this.loads[other]!;
+        const counted = relieved ? this.term(otherLoad) : this.terms[other]!;
+        change += this.term(otherLoad + rise * otherPace) - counted;
+      }
     }
+    return change + this.term(load) - this.terms[rank]!;
+  }
+
+  /** Load that each holder of an expert loses if one more rank holds it. */
+  private fallPerHolder(expert: number): number {
+    const count = this.holders[expert]!.length;
+    return this.demand[expert]! / count - this.demand[expert]! / (count + 1);
   }
 
   apply({rank, add, drop}: PlacementStep): void {
     if (drop !== undefined) {
-      this.replaceLoads(drop, undefined, rank);
-      this.ranks[rank]!.delete(drop);
+      this.shiftLoads(drop, undefined, rank);
+      this.ranks[rank] = this.ranks[rank]!.filter(e => e !== drop);
       this.holders[drop] = this.holders[drop]!.filter(r => r !== rank);
+      this.held[rank * this.demand.length + drop] = 0;
     }
-    if (add === undefined) return;
-    this.replaceLoads(add, rank, undefined);
-    this.ranks[rank]!.add(add);
-    this.holders[add]!.push(rank);
+    if (add !== undefined) {
+      this.shiftLoads(add, rank, undefined);
+      this.ranks[rank]!.push(add);
+      this.holders[add]!.push(rank);
+      this.held[rank * this.demand.length + add] = 1;
+    }
+    this.termSum = sumOf(this.terms);
   }
 
-  private replaceLoads(
+  /** Changes the loads as if one expert's holders had changed. */
+  private shiftLoads(
     expert: number,
     added: number | undefined,
     dropped: number | undefined,
   ): void {
-    const loads = new Map<number, number>();
-    this.shiftLoads(expert, added, dropped, loads);
-    loads.forEach((load, rank) => {
-      this.loads[rank] = load;
-      this.terms[rank] = this.term(load);
-    });
-    this.termSum = sumOf(this.terms);
+    const holders = this.holders[expert]!;
+    const before = this.demand[expert]! / holders.length;
+    const count =
+      holders.length +
+      (added === undefined ? 0 : 1) -
+      (dropped === undefined ? 0 : 1);
+    const after = this.demand[expert]! / count;
+    for (const rank of holders) {
+      this.addLoad(rank, (rank === dropped ? 0 : after) - before);
+    }
+    if (added !== undefined) this.addLoad(added, after);
+  }
+
+  private addLoad(rank: number, load: number): void {
+    this.loads[rank]! += load * this.paces[rank]!;
+    this.terms[rank] = this.term(this.loads[rank]!);
   }
 }
 
@@ -170,35 +244,72 @@
   limits: PlacementLimits,
   paces: readonly number[] = map[0]!.map(() => 1),
 ): PlacementPlan | undefined {
-  const layouts = map.map(
-    (ranks, set) =>
-      new SetLayout(
-        ranks.map(held => new Set(held)),
-        demand[set]!,
-        paces,
-      ),
-  );
-  const before = map.map(ranks => ranks.map(held => new Set(held)));
+  const search = searchMap(map, demand, limits, paces);
+  for (;;) {
+    const {done, value} = search.next();
+    if (done) return value;
+  }
+}
+
+/**
+ * Longest time for which a search keeps the event loop, in milliseconds. The
+ * coordinator's heartbeats and orders wait for it.
+ */
+const MAX_SLICE_MS = 10;
+
+/** Plans like `improveMap`, and lets other work run in between. */
+export async function improveMapInSlices(
+  map: RankMap,
+  demand: readonly (readonly number[])[],
+  limits: PlacementLimits,
+  paces: readonly number[],
+  clock: Clock,
+): Promise<PlacementPlan | undefined> {
+  const search = searchMap(map, demand, limits, paces);
+  let sliceEndMs = clock.elapsedMs() + MAX_SLICE_MS;
+  for (;;) {
+    const {done, value} = search.next();
+    if (done) return value;
+    if (clock.elapsedMs() < sliceEndMs) continue;
+    await new Promise<void>(resume => clock.after(0, resume));
+    sliceEndMs = clock.elapsedMs() + MAX_SLICE_MS;
+  }
+}
+
+/** Searches for a better map; yields after each short part of the work. */
+function* searchMap(
+  map: RankMap,
+  demand: readonly (readonly number[])[],
+  limits: PlacementLimits,
+  paces: readonly number[],
+): Generator<undefined, PlacementPlan | undefined> {
+  const layouts: SetLayout[] = [];
+  for (const [set, ranks] of map.entries()) {
+    layouts.push(new SetLayout(ranks, demand[set]!, paces));
+    yield;
+  }
   const skewBefore = meanOf(layouts.map(l => l.skew()));
   if (skewBefore < limits.minSkew) return undefined;
   const copiesOfRank = map[0]!.map(() => 0);
   const copiesOfSetAndRank = map.map(ranks => ranks.map(() => 0));
   const isNew = (set: number, rank: number, expert: number) =>
-    !before[set]![rank]!.has(expert);
+    !layouts[set]!.heldAtStart(rank, expert);
   const findStep = (set: number) =>
     findBestStep(
       layouts[set]!,
-      before[set]!,
       limits,
-      (rank, expert) =>
-        !isNew(set, rank, expert) ||
-        (copiesOfSetAndRank[set]![rank]! < limits.maxNewPerRankAndSet &&
-          copiesOfRank[rank]! < limits.maxNewPerRank),
+      rank =>
+        copiesOfSetAndRank[set]![rank]! < limits.maxNewPerRankAndSet &&
+        copiesOfRank[rank]! < limits.maxNewPerRank,
     );
   // The best step of a set changes only with the set's layout, or if the rank
   // that it copies to may copy no more. On many sets a new search of all of them
   // after each step would take longer than demand stays the same.
-  const bestSteps = layouts.map((_, set) => findStep(set));
+  const bestSteps: (ScoredStep | undefined)[] = [];
+  for (const set of layouts.keys()) {
+    bestSteps.push(findStep(set));
+    yield;
+  }
   let copies = 0;
   let stepCount = 0;
   for (;;) {
@@ -223,6 +334,7 @@
       }
     }
     bestSteps[set] = findStep(set);
+    yield;
   }
   if (stepCount === 0) return undefined;
   const skewAfter = meanOf(layouts.map(l => l.skew()));
@@ -247,41 +359,55 @@
   return best;
 }
 
+/**
+ * Finds the step that reduces the set's smooth skew most for its cost. Only the
+ * most loaded rank is relieved, by a step that drops one of its experts or by
+ * one that has another rank hold it as well.
+ */
 function findBestStep(
   layout: SetLayout,
-  before: readonly ReadonlySet<number>[],
-  limits: PlacementLimits,
-  mayCopy: (rank: number, expert: number) => boolean,
+  {slotsPerRank}: PlacementLimits,
+  mayCopyTo: (rank: number) => boolean,
 ): ScoredStep | undefined {
+  const {holders, ranks, termSum} = layout;
   const now = layout.smoothSkew();
   const hotRank = mostLoadedRank(layout);
   let best: ScoredStep | undefined;
-  const consider = (step: PlacementStep, cost: number) => {
-    const loads = new Map<number, number>();
-    const {rank, add, drop} = step;
-    if (drop !== undefined) layout.shiftLoads(drop, undefined, rank, loads);
-    if (add !== undefined) layout.shiftLoads(add, rank, undefined, loads);
-    const gain = (now - layout.smoothSkew(loads)) / cost;
-    if (!best || gain > best.gain) best = {step, gain};
+  // Of steps with the same cost, the one with the smallest sum gains most, so
+  // that the root is taken only of sums that improve on it.
+  const smallestSums = new Map<number, number>();
+  const consider = (
+    sum: number,
+    cost: number,
+    rank: number,
+    add: number | undefined,
+    drop: number | undefined,
+  ) => {
+    if (sum >= (smallestSums.get(cost) ?? Infinity)) return;
+    smallestSums.set(cost, sum);
+    const gain = (now - layout.smoothSkew(sum)) / cost;
+    if (!best || gain > best.gain) best = {step: {rank, add, drop}, gain};
   };
-  for (const expert of layout.ranks[hotRank]!) {
-    if (layout.holders[expert]!.length > 1) {
-      consider(
-        {rank: hotRank, add: undefined, drop: expert},
-        COST_WITHOUT_COPY,
-      );
+  for (const expert of ranks[hotRank]!) {
+    if (holders[expert]!.length > 1) {
+      const sum = termSum + layout.termsOfDrop(hotRank, expert);
+      consider(sum, COST_WITHOUT_COPY, hotRank, undefined, expert);
     }
-    layout.ranks.forEach((held, rank) => {
-      if (rank === hotRank || held.has(expert) || !mayCopy(rank, expert))
-        return;
-      const cost = before[rank]!.has(expert) ? COST_WITHOUT_COPY : 1;
-      if (held.size < limits.slotsPerRank) {
-        consider({rank, add: expert, drop: undefined}, cost);
+    const relieved = termSum + layout.termsOfHolders(expert);
+    ranks.forEach((held, rank) => {
+      if (layout.holds(rank, expert)) return;
+      const isCopy = !layout.heldAtStart(rank, expert);
+      if (isCopy && !mayCopyTo(rank)) return;
+      const cost = isCopy ? 1 : COST_WITHOUT_COPY;
+      if (held.length < slotsPerRank) {
+        const sum = relieved + layout.termsOfAdd(rank, expert, undefined);
+        consider(sum, cost, rank, expert, undefined);
         return;
       }
       for (const old of held) {
-        if (layout.holders[old]!.length < 2) continue;
-        consider({rank, add: expert, drop: old}, cost);
+        if (holders[old]!.length < 2) continue;
+        const sum = relieved + layout.termsOfAdd(rank, expert, old);
+        consider(sum, cost, rank, expert, old);
       }
     });
   }
@@ -313,12 +439,6 @@
   paces: readonly number[] = map[0]!.map(() => 1),
 ): number {
   return meanOf(
-    map.map((ranks, set) =>
-      new SetLayout(
-        ranks.map(held => new Set(held)),
-        demand[set]!,
-        paces,
-      ).skew(),
-    ),
+    map.map((ranks, set) => new SetLayout(ranks, demand[set]!, paces).skew()),
   );
 }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -8,7 +8,13 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {Demand, updateDemand} from '../src/ranks/demand';
-import {improveMap, PlacementLimits, meanSkew} from '../src/ranks/placement';
+import {Clock} from '../src/kernel/clock';
+import {
+  improveMap,
+  improveMapInSlices,
+  PlacementLimits,
+  meanSkew,
+} from '../src/ranks/placement';
 import {RankMap} from '../src/ranks/rank';
 
 const RANKS = 12;
@@ -156,6 +162,33 @@
     expect(all.reads).to.be.at.most(oneRound.reads);
   });
 
+  it('lets heartbeats and orders through during a search', async () => {
+    // A search of 64 ranks takes 0.2 s, and ranks take over after 0.6 s.
+    const MS_PER_READING = 3;
+    const MAX_WAIT_MS = 75;
+    let nowMs = 0;
+    let sliceStartMs = 0;
+    let longestMs = 0;
+    const clock: Clock = {
+      now: () => new Date(nowMs),
+      elapsedMs: () => (nowMs += MS_PER_READING),
+      after(delayMs, action) {
+        longestMs = Math.max(longestMs, nowMs - sliceStartMs);
+        setImmediate(() => {
+          sliceStartMs = nowMs;
+          action();
+        });
+        return {cancel: () => undefined};
+      },
+    };
+    const demand = skewedDemand(1);
+    const paces = new Array<number>(RANKS).fill(1);
+    const args = [INITIAL_MAP, demand, LIMITS, paces] as const;
+    const plan = await improveMapInSlices(...args, clock);
+    expect(plan).to.deep.equal(improveMap(...args));
+    expect(longestMs).to.be.within(1, MAX_WAIT_MS);
+  });
+
   it('adapts to shifted demand with few copies', () => {
     let map = INITIAL_MAP;
     let copies = 0;
