Coordinator: ask only the ranks that the next decision rests on

Callers saw late streams on groups of 64 ranks: the coordinator asked every rank every 400 ms, and every 60 ms during a change, and was too slow for that on 0.4 of a core and 4.2 Mbit/s.

- pollplan.ts decides whom to ask: while a change is in progress the ranks that have not confirmed, otherwise 24 ranks for their choices and the rest in turn.
Groups of up to 24 ranks are asked as before.
- Timeouts of calls to sidecars follow the measured round trips; the experts of a rank whose sidecar is bypassed are read once for each map.
- The map in use is rebuilt only when clearing needs it, not for each report and answer.
- Choices are compressed (2.0 kB in place of 4.1 kB for 12 sets of 256).
- Heartbeats go to ranks that have not been polled yet, and a rank waits for them from the time on at which it knows its group: ranks 1 to 5 led at the start of the model of 64 ranks.
- A search that found nothing is not repeated until the skew has grown.

The coordinator is parted by role: poller.ts asks, planner.ts computes, coordinator.ts runs both and sends the orders.

--- a/src/ranks/agent.ts
+++ b/src/ranks/agent.ts
@@ -132,6 +132,8 @@
   async report(): Promise<RankReport> {
     const report = await this.engine.report();
     this.rank = report.rank;
+    // Whether another rank leads shows only once the group is known.
+    if (this.group !== report.group) this.lastSignMs = this.clock.elapsedMs();
     this.group = report.group;
     return report;
   }
--- a/src/ranks/clearing.ts
+++ b/src/ranks/clearing.ts
@@ -87,13 +87,14 @@
 export function sendClearingOrders(
   state: ChangeState,
   phase: ClearingPhase,
-  {nowMs, inUse, random}: ChangeContext,
+  {nowMs, inUse: readMap, random}: ChangeContext,
 ): ChangeDecision {
   const rescheduled = {...phase, retryAtMs: nowMs + RETRY_INTERVAL_MS};
   if (!phase.ownHoldConfirmed) {
     const orders = [holdOrder(state, phase.pass)];
     return {state: {...state, phase: rescheduled}, orders};
   }
+  const inUse = readMap();
   if (!inUse) return {state: {...state, phase: rescheduled}, orders: []};
   const version = nextVersion(state, random);
   const orders: OutgoingOrder[] = [];
@@ -368,8 +369,9 @@
   }
   const since = state.strayHoldSinceMs ?? context.nowMs;
   const next = {...state, strayHoldSinceMs: since};
+  const holdingRanks = context.holdingRanks();
   const isOfLiveCoordinator = ({rank}: RankReport) =>
-    context.holdingRanks.has(coordinatorOfHoldRank(rank, state.size));
+    holdingRanks.has(coordinatorOfHoldRank(rank, state.size));
   const timeoutMs = heldReports.some(isOfLiveCoordinator)
     ? LIVE_HOLD_TIMEOUT_MS
     : STRAY_HOLD_TIMEOUT_MS;
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -8,6 +8,10 @@
  * life for a while and none of them says, when asked, that it leads. Two leading
  * coordinators do no harm, because `decideChange` allows for them, but each of
  * them cancels what the other has begun while the group is held.
+ *
+ * The work is divided by role: `pollplan.ts` decides whom to ask, `poller.ts`
+ * asks, `planner.ts` computes a better map, and `mapchange.ts` decides which
+ * orders carry it out. This module runs them in turn and sends the orders.
  */
 import {Clock, repeatEvery, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
@@ -19,11 +23,13 @@
   ChangeInput,
   OutgoingOrder,
 } from './mapchangestate';
-import {Demand, updateDemand} from './demand';
 import {MapDimensions, mapInUse} from './mapinuse';
+import {PlacementLimits} from './placement';
+import {ChangePlanner, UsedMap} from './planner';
+import {GroupPoller, PollScope} from './poller';
+import {ranksOfChange, ranksOfTurn, ranksWithChoices} from './pollplan';
 import {RankClient} from './rankclient';
-import {improveMap, PlacementLimits} from './placement';
-import {Heartbeat, RankMap, RankReport, RankState} from './rank';
+import {Heartbeat, RankMap, RankReport} from './rank';
 
 export interface ExpertLimits extends PlacementLimits, MapDimensions {
   /** Time that a rank needs to copy one expert. */
@@ -52,6 +58,11 @@
 const DEMAND_READ_INTERVAL_MS = 400;
 /** Interval between steps, and between polls while a change is in progress. */
 const POLL_INTERVAL_MS = 60;
+/**
+ * Part of the time that polls may take while a change is in progress. Answers to
+ * orders are read in the rest of it.
+ */
+const MAX_POLL_SHARE = 0.5;
 /** Interval between the heartbeats of a leading coordinator. */
 const HEARTBEAT_INTERVAL_MS = 150;
 /**
@@ -60,53 +71,27 @@
  * callers give up after two seconds.
  */
 const TAKEOVER_TIMEOUT_MS = 600;
-/**
- * Time for which an answer shows that a coordinator is alive: until the next
- * answer is due.
- */
-const ALIVE_AFTER_ANSWER_MS = 500;
 /** Timeout of orders that the group does not wait for. */
 const PREPARE_ORDER_TIMEOUT_MS = 500;
 /** Timeout of orders while the group may be held. */
 const ORDER_TIMEOUT_MS = 200;
-/**
- * Longest wait for the reports of one poll; later ones are used as they
- * arrive. The limit is short because a frozen instance that left its group held
- * does not answer, and the group stays held while the poll waits.
- */
-const POLL_TIMEOUT_MS = 100;
 /** Extra time for each lower rank, so that one coordinator takes over first. */
 const TAKEOVER_DELAY_PER_RANK_MS = 100;
-/** Interval between polls of an address that belongs to another group. */
-const OTHER_GROUP_POLL_INTERVAL_MS = 5_000;
-
-interface AddressGroup {
-  readonly group: string;
-  readonly polledMs: number;
-}
-
-interface PolledState extends RankState {
-  readonly polledMs: number;
-}
+const ALL_RANKS: PollScope = {ranks: undefined, withChoices: new Set()};
 
 export class Coordinator {
   private change: ChangeState | undefined;
-  private demand: Demand | undefined;
-  private readonly states = new Map<number, PolledState>();
-  /** What ranks have chosen since the demand was last updated. */
-  private choices: (readonly number[])[] = [];
+  private readonly poller: GroupPoller;
+  private readonly planner: ChangePlanner;
   /** Ranks whose order to prepare is in flight. */
   private readonly preparingRanks = new Set<number>();
-  private readonly clients = new Map<number, RankClient>();
-  private readonly groupByAddress = new Map<string, AddressGroup>();
-  private readonly clientByAddress = new Map<string, RankClient>();
-  /** Addresses whose state request is in flight. */
-  private readonly pendingAddresses = new Set<string>();
   private lastDemandReadMs = -Infinity;
+  /** Number of readings of the demand. */
+  private readings = 0;
+  /** Time from one step to the next. */
+  private stepIntervalMs = POLL_INTERVAL_MS;
   /** Earliest time at which the ranks can have copied the ordered experts. */
   private copyEndMs = -Infinity;
-  /** When this coordinator last released the group. */
-  private releasedMs = -Infinity;
   private leading = false;
   /** This sidecar's group, once it is known. */
   private group: Heartbeat | undefined;
@@ -115,7 +100,17 @@
   private heartbeats: Timer | undefined;
   private stopped = false;
 
-  constructor(private readonly deps: CoordinatorDependencies) {}
+  constructor(private readonly deps: CoordinatorDependencies) {
+    const {addresses, clientFor, clock, log} = deps;
+    this.poller = new GroupPoller({
+      addresses,
+      clientFor,
+      handleState: report => this.applyInput({kind: 'report', report}),
+      clock,
+      log,
+    });
+    this.planner = new ChangePlanner(clock);
+  }
 
   start(): void {
     const {clock} = this.deps;
@@ -158,22 +153,21 @@
   private sendHeartbeat(): void {
     const {group} = this;
     if (!this.leading || !group) return;
-    const addresses = [...this.groupByAddress]
-      .filter(([, known]) => known.group === group.group)
-      .map(([address]) => address);
+    // A rank that has not been polled yet must not take over meanwhile.
+    const addresses = this.poller.possibleAddresses(group.group);
     this.deps.sendHeartbeat(addresses, group);
   }
 
   private async stepAndReschedule(): Promise<void> {
+    const {clock, log} = this.deps;
+    this.stepIntervalMs = POLL_INTERVAL_MS;
     try {
       await this.step();
     } catch (error) {
-      this.deps.log('debug', 'coordinator step failed', {
-        reason: String(error),
-      });
+      log('debug', 'coordinator step failed', {reason: String(error)});
     }
-    this.timer = this.deps.clock.after(
-      POLL_INTERVAL_MS,
+    this.timer = clock.after(
+      this.stepIntervalMs,
       () => void this.stepAndReschedule(),
     );
   }
@@ -211,12 +205,32 @@
     }
     this.resetIfGroupReformed(ownReport);
     const readDemand = nowMs - this.lastDemandReadMs >= DEMAND_READ_INTERVAL_MS;
-    await this.poll(ownReport, readDemand);
+    await this.poller.poll(ownReport, this.pollScope(readDemand, nowMs));
+    const pollMs = clock.elapsedMs() - nowMs;
+    this.stepIntervalMs = Math.max(
+      POLL_INTERVAL_MS,
+      pollMs * (1 / MAX_POLL_SHARE - 1),
+    );
     this.applyInput({kind: 'tick'});
     if (!readDemand) return;
     this.lastDemandReadMs = nowMs;
+    this.readings += 1;
     this.readDemand();
-    if (leads) this.planChange(nowMs);
+    if (leads) await this.planChange();
+  }
+
+  /** The ranks that the next decision rests on. */
+  private pollScope(readDemand: boolean, nowMs: number): PollScope {
+    const {change} = this;
+    if (!change || this.poller.states.size < change.size) return ALL_RANKS;
+    const {phase, size} = change;
+    const isCopying = phase.kind === 'preparing' && nowMs < this.copyEndMs;
+    const withChoices = readDemand ? ranksWithChoices(size) : new Set<number>();
+    const ranks =
+      phase.kind === 'idle' || isCopying
+        ? ranksOfTurn(change, this.readings)
+        : ranksOfChange(change);
+    return {ranks: new Set([...ranks, ...withChoices]), withChoices};
   }
 
   /**
@@ -231,8 +245,10 @@
     const takeoverMs = TAKEOVER_TIMEOUT_MS + TAKEOVER_DELAY_PER_RANK_MS * rank;
     if (agent.msSinceLastSign() <= takeoverMs) return false;
     if (this.leading) return true;
-    await this.poll(ownReport, false);
-    const leader = this.aliveStates().find(s => s.leading && s.rank < rank);
+    await this.poller.poll(ownReport, ALL_RANKS);
+    const leader = this.poller
+      .aliveStates()
+      .find(s => s.leading && s.rank < rank);
     if (!leader) return true;
     agent.recordSign(leader);
     this.deps.log('info', 'coordinator is alive without heartbeats', {
@@ -242,12 +258,6 @@
     return false;
   }
 
-  /** States that show what their sidecars do now. */
-  private aliveStates(): readonly PolledState[] {
-    const sinceMs = this.deps.clock.elapsedMs() - ALIVE_AFTER_ANSWER_MS;
-    return [...this.states.values()].filter(s => s.polledMs >= sinceMs);
-  }
-
   private updateRole(): void {
     this.deps.agent.setRole({
       leading: this.leading,
@@ -276,9 +286,7 @@
       ownReport.epoch,
     );
     this.change = {...fresh, version: change?.version ?? 0};
-    this.states.clear();
-    this.clients.clear();
-    this.choices = [];
+    this.poller.reset();
     this.deps.log('info', 'group formed', {
       group: ownReport.group,
       epoch: ownReport.epoch,
@@ -286,75 +294,15 @@
     });
   }
 
-  private async poll(
-    ownReport: RankReport,
-    withChoices: boolean,
-  ): Promise<void> {
-    const nowMs = this.deps.clock.elapsedMs();
-    const answers: Promise<void>[] = [];
-    for (const address of this.deps.addresses()) {
-      const known = this.groupByAddress.get(address);
-      const isMember = known?.group === ownReport.group;
-      const isDue =
-        !known || nowMs - known.polledMs > OTHER_GROUP_POLL_INTERVAL_MS;
-      if (!isMember && !isDue) continue;
-      // The choices of a rank outside the group would only fill the link.
-      const query = withChoices && isMember;
-      answers.push(this.pollAddress(address, ownReport, query, nowMs));
-    }
-    const {clock} = this.deps;
-    const timeout = new Promise<void>(done =>
-      clock.after(POLL_TIMEOUT_MS, done),
-    );
-    await Promise.race([Promise.all(answers), timeout]);
-  }
-
-  private clientAt(address: string): RankClient {
-    const client =
-      this.clientByAddress.get(address) ?? this.deps.clientFor(address);
-    this.clientByAddress.set(address, client);
-    return client;
-  }
-
-  private async pollAddress(
-    address: string,
-    ownReport: RankReport,
-    withChoices: boolean,
-    nowMs: number,
-  ): Promise<void> {
-    if (this.pendingAddresses.has(address)) return;
-    this.pendingAddresses.add(address);
-    const client = this.clientAt(address);
-    try {
-      const state = await client.state(ownReport, withChoices);
-      this.groupByAddress.set(address, {group: state.group, polledMs: nowMs});
-      if (state.group !== ownReport.group || state.epoch !== ownReport.epoch)
-        return;
-      if (state.choices.length > 0) this.choices.push(state.choices);
-      // It may still show the hold that this coordinator has released since.
-      if (nowMs < this.releasedMs) return;
-      this.states.set(state.rank, {...state, polledMs: nowMs});
-      this.clients.set(state.rank, client);
-      this.applyInput({kind: 'report', report: state});
-    } catch (error) {
-      this.deps.log('debug', 'rank did not report its state', {
-        address,
-        reason: String(error),
-      });
-    } finally {
-      this.pendingAddresses.delete(address);
-    }
-  }
-
   private applyInput(input: ChangeInput): void {
     if (!this.change) return;
     const {clock, random} = this.deps;
     const before = this.change;
     const {state, orders} = decideChange(before, input, {
       nowMs: clock.elapsedMs(),
-      inUse: this.currentMap(),
+      inUse: () => this.currentMap(),
       random,
-      holdingRanks: this.holdingRanks(),
+      holdingRanks: () => this.holdingRanks(),
     });
     this.change = state;
     this.updateRole();
@@ -366,7 +314,8 @@
       // Clearing orders another map; what is in flight must not delay it.
       if (state.phase.kind === 'clearing') this.preparingRanks.clear();
       if (before.phase.kind === 'releasing') {
-        this.releasedMs = clock.elapsedMs();
+        // They may still show the hold that has been released.
+        this.poller.ignoreEarlierAnswers();
       }
       // Demand has moved while the experts were copied, so read it now.
       if (state.phase.kind === 'idle') this.lastDemandReadMs = -Infinity;
@@ -388,9 +337,9 @@
   /** Ranks of other coordinators that are alive and hold the group. */
   private holdingRanks(): ReadonlySet<number> {
     const ownRank = this.change?.ownRank;
-    const holding = this.aliveStates().filter(
-      s => s.holding && s.rank !== ownRank,
-    );
+    const holding = this.poller
+      .aliveStates()
+      .filter(s => s.holding && s.rank !== ownRank);
     return new Set(holding.map(s => s.rank));
   }
 
@@ -409,7 +358,7 @@
       this.change?.phase.kind === 'preparing'
         ? PREPARE_ORDER_TIMEOUT_MS
         : ORDER_TIMEOUT_MS;
-    const client = this.clients.get(rank);
+    const client = this.poller.clientOf(rank);
     const outcome = client
       ? await client.order(epoch, order, {direct, timeoutMs})
       : 'unknown';
@@ -422,46 +371,57 @@
   private currentMap(): RankMap | undefined {
     const limits = this.deps.limits();
     if (!this.change || !limits) return undefined;
-    return mapInUse(this.states, this.change.size, limits);
+    return mapInUse(this.poller.states, this.change.size, limits);
   }
 
-  /** Adds what the ranks have chosen to the estimate of the demand. */
   private readDemand(): void {
-    const {change, choices} = this;
+    const {change} = this;
     const limits = this.deps.limits();
-    this.choices = [];
-    if (!limits || !change) return;
-    const {sets, experts} = limits;
-    this.demand = updateDemand(
-      this.demand,
-      {epoch: change.epoch, sets, experts, ofRanks: choices},
-      this.deps.clock.elapsedMs(),
-    );
+    const choices = this.poller.takeChoices();
+    if (limits && change)
+      this.planner.addChoices(change.epoch, limits, choices);
   }
 
-  private planChange(nowMs: number): void {
-    const limits = this.deps.limits();
-    const {change, demand} = this;
-    if (!limits || !change || this.states.size !== change.size) return;
-    const states = [...this.states.values()];
-    // The group switched maps between the reports, or a rank did not report.
-    if (states.some(s => s.map !== states[0]!.map)) return;
-    if (!demand?.known || !mayBeginChange(change, nowMs) || this.stopped)
-      return;
-    const map = this.currentMap();
-    if (!map) return;
-    const paces = Array.from(
-      {length: change.size},
-      (_, rank) => this.states.get(rank)!.pace,
-    );
-    const plan = improveMap(map, demand.shares, limits, paces);
-    if (!plan) return;
-    this.deps.log('info', 'map change planned', {
+  private async planChange(): Promise<void> {
+    const {clock, log, limits: readLimits} = this.deps;
+    const limits = readLimits();
+    const used = this.usedMap();
+    if (!limits || !used || !this.mayBegin()) return;
+    const plan = await this.planner.plan(used, limits);
+    // The group may have formed again or changed its map during the search.
+    const now = this.usedMap();
+    const isCurrent = now?.epoch === used.epoch && now.version === used.version;
+    if (!plan || !isCurrent || !this.mayBegin()) return;
+    log('info', 'map change planned', {
       copies: plan.copies,
       skewBefore: Number(plan.skewBefore.toFixed(3)),
       skewAfter: Number(plan.skewAfter.toFixed(3)),
     });
-    this.copyEndMs = nowMs + plan.maxCopiesPerRank * limits.copyMsPerExpert;
+    this.copyEndMs =
+      clock.elapsedMs() + plan.maxCopiesPerRank * limits.copyMsPerExpert;
     this.applyInput({kind: 'begin', target: plan.map});
   }
+
+  private mayBegin(): boolean {
+    const {change, stopped} = this;
+    if (!change || stopped) return false;
+    return mayBeginChange(change, this.deps.clock.elapsedMs());
+  }
+
+  /** The map in use, if the reports of all ranks agree on it. */
+  private usedMap(): UsedMap | undefined {
+    const {change} = this;
+    const {states} = this.poller;
+    if (!change || states.size !== change.size) return undefined;
+    const version = states.get(0)?.map;
+    // The group switched maps between the reports, or a rank did not report.
+    if ([...states.values()].some(s => s.map !== version)) return undefined;
+    const map = this.currentMap();
+    if (!map || version === undefined) return undefined;
+    const paces = Array.from(
+      {length: change.size},
+      (_, rank) => states.get(rank)!.pace,
+    );
+    return {epoch: change.epoch, version, map, paces};
+  }
 }
--- a/src/ranks/mapchangestate.ts
+++ b/src/ranks/mapchangestate.ts
@@ -130,15 +130,15 @@
 
 export interface ChangeContext {
   readonly nowMs: number;
-  /** The map in use, from the ranks' reports; undefined if it is not known. */
-  readonly inUse: RankMap | undefined;
+  /** Reads the map in use from the ranks' reports; undefined if not known. */
+  readonly inUse: () => RankMap | undefined;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
   /**
-   * Ranks of other coordinators that are known to be alive and to hold the
-   * group. They release their holds themselves.
+   * Returns the ranks of other coordinators that are known to be alive and to
+   * hold the group. They release their holds themselves.
    */
-  readonly holdingRanks: ReadonlySet<number>;
+  readonly holdingRanks: () => ReadonlySet<number>;
 }
 
 export interface ChangeDecision {
--- a/src/ranks/packing.ts
+++ b/src/ranks/packing.ts
@@ -5,8 +5,10 @@
  * each of them the whole expert map. Written as JSON numbers, these messages
  * would fill the link of a small instance: the choices of 24 ranks with 16 sets of
  * 96 experts take 200 kB. Numbers are written with 7 bits a byte, the lowest
- * first, and the bytes as base64 text.
+ * first, and the bytes as base64 text. Most choices are small, so their bytes
+ * are compressed to about half.
  */
+import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
 import {RankMap} from './rank';
 
 const BITS_PER_BYTE = 7;
@@ -16,6 +18,15 @@
 
 /** Packs non-negative whole numbers below 2^35. */
 export function packNumbers(numbers: readonly number[]): string {
+  return numberBytes(numbers).toString('base64');
+}
+
+/** Throws a RangeError if the text does not end with a whole number. */
+export function unpackNumbers(text: string): readonly number[] {
+  return readNumbers(Buffer.from(text, 'base64'));
+}
+
+function numberBytes(numbers: readonly number[]): Buffer {
   const bytes: number[] = [];
   for (const number of numbers) {
     let rest = number;
@@ -25,15 +36,14 @@
     }
     bytes.push(rest);
   }
-  return Buffer.from(bytes).toString('base64');
+  return Buffer.from(bytes);
 }
 
-/** Throws a RangeError if the text does not end with a whole number. */
-export function unpackNumbers(text: string): readonly number[] {
+function readNumbers(bytes: Buffer): readonly number[] {
   const numbers: number[] = [];
   let number = 0;
   let length = 0;
-  for (const byte of Buffer.from(text, 'base64')) {
+  for (const byte of bytes) {
     number += (byte % CONTINUES) * 2 ** (BITS_PER_BYTE * length);
     length += 1;
     if (length > MAX_BYTES_PER_NUMBER)
@@ -76,26 +86,39 @@
   return map;
 }
 
-/** Choices in units of `scale`, so that each of them takes one or two bytes. */
+/** Choices in units of `scale`, so that each of them takes one byte. */
 export interface PackedChoices {
   readonly scale: number;
   readonly packed: string;
 }
 
-/** Units of the most frequent choice. One in 255 is finer than the demand. */
-const MAX_UNITS = 255;
+/**
+ * Units of the most frequent choice, so that each number takes one byte. One in
+ * 127 is finer than the demand.
+ */
+const MAX_UNITS = 127;
+
+/** Largest size of the choices of one rank, uncompressed, in bytes. */
+const MAX_CHOICES_BYTES = 1_048_576;
 
 export function packChoices(choices: readonly number[]): PackedChoices {
   const most = choices.reduce((max, n) => Math.max(max, n), 0);
   const scale = Math.max(1, most / MAX_UNITS);
-  const packed = packNumbers(choices.map(n => Math.round(n / scale)));
-  return {scale, packed};
+  const bytes = numberBytes(choices.map(n => Math.round(n / scale)));
+  const packed = deflateRawSync(bytes, {
+    level: 1,
+    strategy: constants.Z_HUFFMAN_ONLY,
+  });
+  return {scale, packed: packed.toString('base64')};
 }
 
-/** Throws a RangeError like `unpackNumbers`. */
+/** Throws an error if the text does not hold compressed whole numbers. */
 export function unpackChoices({
   scale,
   packed,
 }: PackedChoices): readonly number[] {
-  return unpackNumbers(packed).map(n => n * scale);
+  const bytes = inflateRawSync(Buffer.from(packed, 'base64'), {
+    maxOutputLength: MAX_CHOICES_BYTES,
+  });
+  return readNumbers(bytes).map(n => n * scale);
 }
--- a/src/ranks/rankclient.ts
+++ b/src/ranks/rankclient.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod';
 import {Clock} from '../kernel/clock';
-import {JsonClient} from '../kernel/jsonclient';
+import {JsonClient, JsonResponse} from '../kernel/jsonclient';
 import {ORDER_PATH, rankMapKey, StateAnswer, statePath} from './agent';
 import {Engine} from './engine';
 import {packMap, unpackChoices} from './packing';
@@ -15,9 +15,10 @@
   RankOrder,
   RankState,
 } from './rank';
+import {RoundTrips} from './roundtrip';
 
-/** Timeout of a state request to a sidecar. */
-const STATE_TIMEOUT_MS = 300;
+/** Least timeout of a state request to a sidecar. */
+const MIN_STATE_TIMEOUT_MS = 300;
 
 const stateSchema: z.ZodType<StateAnswer> = z.object({
   group: z.string(),
@@ -60,6 +61,7 @@
 export interface OrderOptions {
   /** Whether the order bypasses the rank's sidecar. */
   readonly direct: boolean;
+  /** Least time to wait for an answer. */
   readonly timeoutMs: number;
 }
 
@@ -76,6 +78,8 @@
   engine: Engine,
   caller: JsonClient,
   clock: Clock,
+  /** The round trips to all sidecars that the coordinator calls. */
+  roundTrips: RoundTrips,
 ): RankClient {
   let bypassUntilMs = -Infinity;
   /** The rank's experts in the map that it last reported to use. */
@@ -85,17 +89,41 @@
   const bypassSidecar = () =>
     (bypassUntilMs = clock.elapsedMs() + SIDECAR_BYPASS_MS);
 
+  /** Calls the sidecar; bypasses it for a while if it does not answer in time. */
+  async function callSidecar(
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+    leastMs: number,
+  ): Promise<JsonResponse> {
+    const startMs = clock.elapsedMs();
+    const timeoutMs = roundTrips.timeoutMs(leastMs);
+    try {
+      const answer = await caller.call(method, sidecar, path, body, timeoutMs);
+      roundTrips.recordAnswer(clock.elapsedMs() - startMs);
+      return answer;
+    } catch (error) {
+      if (clock.elapsedMs() - startMs >= timeoutMs) roundTrips.recordTimeout();
+      bypassSidecar();
+      throw error;
+    }
+  }
+
   /**
-   * Reads the state from the engine. Leaves out the choices, which are expensive
-   * to read from another instance.
+   * Reads the state from the engine. Leaves out the choices, and the experts if
+   * they are known: the group pauses while another instance reads them.
    */
   async function stateFromEngine(): Promise<RankState> {
     const report = await engine.report();
-    const {version, experts} = await engine.experts();
-    if (version !== report.map)
-      throw new Error('expert map changed between two reads');
     const role = {leading: false, holding: false};
-    return {...report, ...role, experts, choices: []};
+    const key = rankMapKey(report);
+    if (known?.key !== key) {
+      const {version, experts} = await engine.experts();
+      if (version !== report.map)
+        throw new Error('expert map changed between two reads');
+      known = {key, experts};
+    }
+    return {...report, ...role, experts: known.experts, choices: []};
   }
 
   function toState({choices, ...answer}: StateAnswer): RankState {
@@ -107,18 +135,33 @@
     return {...answer, experts, choices: choices ? unpackChoices(choices) : []};
   }
 
+  async function orderSidecar(
+    epoch: number,
+    order: object,
+    leastMs: number,
+  ): Promise<OrderOutcome> {
+    try {
+      const sent = {epoch, order};
+      const answer = await callSidecar('POST', ORDER_PATH, sent, leastMs);
+      if (answer.status !== 200) return 'unknown';
+      return outcomeSchema.parse(answer.body).outcome;
+    } catch {
+      // Orders now go to the engine itself for a while.
+      return 'unknown';
+    }
+  }
+
   return {
     address,
     async state(coordinator, withChoices) {
       if (isSidecarBypassed()) return stateFromEngine();
-      const query = {coordinator, withChoices, knownMap: known?.key};
+      const path = statePath({coordinator, withChoices, knownMap: known?.key});
       try {
-        const {status, body} = await caller.call(
+        const {status, body} = await callSidecar(
           'GET',
-          sidecar,
-          statePath(query),
+          path,
           undefined,
-          STATE_TIMEOUT_MS,
+          MIN_STATE_TIMEOUT_MS,
         );
         if (status !== 200) throw new Error(`sidecar: status ${status}`);
         return toState(stateSchema.parse(body));
@@ -132,21 +175,7 @@
         return engine.order(epoch, order, timeoutMs);
       const sent =
         order.kind === 'prepare' ? {...order, map: packMap(order.map)} : order;
-      try {
-        const {status, body} = await caller.call(
-          'POST',
-          sidecar,
-          ORDER_PATH,
-          {epoch, order: sent},
-          timeoutMs,
-        );
-        if (status !== 200) return 'unknown';
-        return outcomeSchema.parse(body).outcome;
-      } catch {
-        // Orders now go to the engine itself for a while.
-        bypassSidecar();
-        return 'unknown';
-      }
+      return orderSidecar(epoch, sent, timeoutMs);
     },
   };
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -36,6 +36,7 @@
 import {Coordinator} from './ranks/coordinator';
 import {PassObserver, PassTarget} from './ranks/passobserver';
 import {createRankClient} from './ranks/rankclient';
+import {RoundTrips} from './ranks/roundtrip';
 
 /**
  * Longest wait of a poll of the operator's table, in milliseconds. It bounds
@@ -390,6 +391,7 @@
     log,
     () => coordinator.isLeading(),
   );
+  const roundTrips = new RoundTrips();
   const coordinator: Coordinator = new Coordinator({
     agent,
     addresses: () =>
@@ -406,6 +408,7 @@
         createEngineClient(address, jsonClient),
         jsonClient,
         clock,
+        roundTrips,
       );
     },
     sendHeartbeat: (addresses, heartbeat) =>
--- a/test/clearing.test.ts
+++ b/test/clearing.test.ts
@@ -33,9 +33,9 @@
     const apply = (input: ChangeInput) => {
       const decision = decideChange(state, input, {
         nowMs,
-        inUse: MAP,
+        inUse: () => MAP,
         random: () => 0,
-        holdingRanks: new Set(),
+        holdingRanks: () => new Set(),
       });
       state = decision.state;
       orders = [...orders, ...decision.orders];
--- a/test/coordination.test.ts
+++ b/test/coordination.test.ts
@@ -5,52 +5,27 @@
  * Guards against polls that fill the coordinator's link, so that other ranks
  * hear nothing from a coordinator that is alive and take over.
  */
-import http from 'node:http';
-import {Readable} from 'node:stream';
 import {expect} from 'chai';
-import {VirtualClock} from '../bench/support/virtualclock';
-import {Clock, repeatEvery} from '../src/kernel/clock';
-import {JsonClient, JsonResponse} from '../src/kernel/jsonclient';
-import {Log} from '../src/observe/log';
-import {RankAgent} from '../src/ranks/agent';
-import {Coordinator, ExpertLimits} from '../src/ranks/coordinator';
-import {Engine} from '../src/ranks/engine';
-import {
-  OrderOutcome,
-  RankExperts,
-  RankOrder,
-  RankReport,
-} from '../src/ranks/rank';
-import {createRankClient} from '../src/ranks/rankclient';
-
-const GROUPS = 3;
-const RANKS = 24;
-const LIMITS: ExpertLimits = {
-  sets: 16,
-  experts: 96,
-  slotsPerRank: 5,
-  maxNewPerRankAndSet: 1,
-  maxNewPerRank: 1,
-  minGainPerCopy: 0.01,
-  minSkew: 1.15,
-  minSkewGain: 0,
-  copyMsPerExpert: 76,
+import {repeatEvery} from '../src/kernel/clock';
+import {Node, Site, SiteShape} from './coordinationmodel';
+
+const SHAPE: SiteShape = {
+  groups: 3,
+  ranks: 24,
+  limits: {
+    sets: 16,
+    experts: 96,
+    slotsPerRank: 5,
+    maxNewPerRankAndSet: 1,
+    maxNewPerRank: 1,
+    minGainPerCopy: 0.01,
+    minSkew: 1.15,
+    minSkewGain: 0,
+    copyMsPerExpert: 76,
+  },
+  linkBytesPerMs: 700,
+  messageMs: 0,
 };
-const PASS_INTERVAL_MS = 60;
-const SHIFT_INTERVAL_MS = 6_000;
-/** Choices of a rank in each set; counts then have up to five digits. */
-const CHOICES_PER_MS = 6.7;
-/** Time for which the ranks have counted choices before the start. */
-const COUNTED_MS = 20_000;
-/** Share of an expert is proportional to its place to the power of this. */
-const DEMAND_EXPONENT = -0.94;
-
-const LINK_BYTES_PER_MS = 700;
-const LATENCY_MS = 1;
-/** Size of the head of a request or an answer. */
-const HEAD_BYTES = 200;
-const ENGINE_READ_TIMEOUT_MS = 500;
-const SIDECAR_PORT = 9_000;
 
 const LEADERSHIP_CHECK_INTERVAL_MS = 10;
 /** Time after the start in which the ranks may not know each other yet. */
@@ -58,427 +33,13 @@
 const OBSERVED_MS = 20_000;
 const TAKEOVER_LIMIT_MS = 3_000;
 
-const ignoreLog: Log = () => undefined;
-
-/** One direction of a machine's link; carries one message after another. */
-class Link {
-  private freeAtMs = 0;
-
-  constructor(private readonly clock: Clock) {}
-
-  send(bytes: number, deliver: () => void): void {
-    const nowMs = this.clock.elapsedMs();
-    this.freeAtMs = Math.max(nowMs, this.freeAtMs) + bytes / LINK_BYTES_PER_MS;
-    this.clock.after(this.freeAtMs - nowMs, deliver);
-  }
-}
-
-class Machine {
-  readonly inbound: Link;
-  readonly outbound: Link;
-  /** Bytes of answers to reads by this machine, on its link. */
-  readBytes = 0;
-  stopped = false;
-
-  constructor(private readonly clock: Clock) {
-    this.inbound = new Link(clock);
-    this.outbound = new Link(clock);
-  }
-
-  sendTo(target: Machine, text: string, deliver: () => void): void {
-    if (target === this) return deliver();
-    const bytes = HEAD_BYTES + Buffer.byteLength(text);
-    this.outbound.send(bytes, () =>
-      this.clock.after(LATENCY_MS, () =>
-        target.inbound.send(bytes, () => {
-          if (!this.stopped && !target.stopped) deliver();
-        }),
-      ),
-    );
-  }
-
-  /** Sends a request and resolves to the answer; rejects at the timeout. */
-  exchange(
-    target: Machine,
-    request: {readonly text: string; readonly isRead: boolean},
-    respond: () => Promise<string>,
-    timeoutMs: number,
-  ): Promise<string> {
-    return new Promise((resolve, reject) => {
-      const timer = this.clock.after(timeoutMs, () =>
-        reject(new Error('timeout')),
-      );
-      const fail = (error: unknown) => {
-        timer.cancel();
-        reject(error);
-      };
-      this.sendTo(target, request.text, () => {
-        respond().then(answer => {
-          if (request.isRead && target !== this)
-            this.readBytes += HEAD_BYTES + Buffer.byteLength(answer);
-          target.sendTo(this, answer, () => {
-            timer.cancel();
-            resolve(answer);
-          });
-        }, fail);
-      });
-    });
-  }
-}
-
-/** Carries calls between sidecars over the machines' links. */
-class SimulatedCaller extends JsonClient {
-  constructor(
-    private readonly machine: Machine,
-    private readonly nodeAt: (host: string) => Node,
-  ) {
-    super();
-  }
-
-  override async call(
-    method: 'GET' | 'POST',
-    address: string,
-    path: string,
-    body: unknown,
-    timeoutMs: number,
-  ): Promise<JsonResponse> {
-    const target = this.nodeAt(address.split(':')[0]!);
-    const text = body === undefined ? '' : JSON.stringify(body);
-    let status = 0;
-    const respond = async () => {
-      const answer = await serve(target.agent, method, path, text);
-      status = answer.status;
-      return answer.text;
-    };
-    const request = {text: path + text, isRead: method === 'GET'};
-    const answer = await this.machine.exchange(
-      target.machine,
-      request,
-      respond,
-      timeoutMs,
-    );
-    return {status, body: answer === '' ? undefined : JSON.parse(answer)};
-  }
-}
-
-/** Has an agent handle an HTTP request without a socket. */
-function serve(
-  agent: RankAgent,
-  method: string,
-  url: string,
-  body: string,
-): Promise<{readonly status: number; readonly text: string}> {
-  return new Promise(resolve => {
-    let status = 0;
-    const req = Object.assign(Readable.from([Buffer.from(body)]), {
-      method,
-      url,
-      headers: {},
-    });
-    const res = {
-      writeHead: (code: number) => (status = code),
-      end: (text?: string | Buffer) =>
-        resolve({status, text: text?.toString() ?? ''}),
-    };
-    agent.handle(
-      req as unknown as http.IncomingMessage,
-      res as unknown as http.ServerResponse,
-    );
-  });
-}
-
-/** An engine that is called from another machine. */
-function remoteEngine(from: Machine, target: Node): Engine {
-  const read = async <T>(value: () => Promise<T>): Promise<T> => {
-    const respond = async () => JSON.stringify(await value());
-    const request = {text: '', isRead: true};
-    return JSON.parse(
-      await from.exchange(
-        target.machine,
-        request,
-        respond,
-        ENGINE_READ_TIMEOUT_MS,
-      ),
-    );
-  };
-  const engine: Engine = target.engine;
-  return {
-    report: () => read(() => engine.report()),
-    counts: () => read(() => engine.counts()),
-    experts: () => read(() => engine.experts()),
-    async order(epoch, order, timeoutMs) {
-      const request = {text: JSON.stringify(order), isRead: false};
-      const respond = () => engine.order(epoch, order, timeoutMs);
-      try {
-        const outcome = await from.exchange(
-          target.machine,
-          request,
-          respond,
-          timeoutMs,
-        );
-        return outcome as OrderOutcome;
-      } catch {
-        return 'unknown';
-      }
-    },
-  };
-}
-
-/** The passes that the ranks of a group run together. */
-class SimulatedGroup {
-  pass = 0;
-  readonly engines: readonly SimulatedEngine[];
-
-  constructor(
-    readonly name: string,
-    readonly clock: Clock,
-  ) {
-    this.engines = Array.from(
-      {length: RANKS},
-      (_, rank) => new SimulatedEngine(this, rank),
-    );
-    repeatEvery(clock, PASS_INTERVAL_MS, () => this.beginPass());
-  }
-
-  private beginPass(): void {
-    const next = this.pass + 1;
-    if (this.engines.some(e => e.held === next)) return;
-    this.pass = next;
-    this.engines.forEach(e => e.switchMap(next));
-  }
-
-  /** Total counts of a rank; demand moves to other experts at intervals. */
-  counts(): readonly number[] {
-    const {sets, experts} = LIMITS;
-    const weights = Array.from(
-      {length: experts},
-      (_, i) => (i + 1) ** DEMAND_EXPONENT,
-    );
-    const sum = weights.reduce((a, b) => a + b, 0);
-    const totals = new Array<number>(sets * experts).fill(0);
-    const endMs = COUNTED_MS + this.clock.elapsedMs();
-    for (let startMs = 0; startMs < endMs; startMs += SHIFT_INTERVAL_MS) {
-      const ms = Math.min(SHIFT_INTERVAL_MS, endMs - startMs);
-      const offset = (startMs / SHIFT_INTERVAL_MS) * 31;
-      for (let i = 0; i < totals.length; i++) {
-        const set = Math.floor(i / experts);
-        const place = ((i % experts) * (2 * set + 5) + offset) % experts;
-        totals[i]! += (ms * CHOICES_PER_MS * weights[place]!) / sum;
-      }
-    }
-    return totals.map(n => Math.floor(n));
-  }
-}
-
-class SimulatedEngine implements Engine {
-  held: number | undefined;
-  stopped = false;
-  private map = 0;
-  private mapExperts: RankExperts;
-  private highestVersion = 0;
-  private copied:
-    | {
-        readonly version: number;
-        readonly atMs: number;
-        readonly experts: RankExperts;
-      }
-    | undefined;
-  private armed: {readonly version: number; readonly pass: number} | undefined;
-
-  constructor(
-    private readonly group: SimulatedGroup,
-    private readonly rank: number,
-  ) {
-    const perRank = LIMITS.experts / RANKS;
-    this.mapExperts = Array.from({length: LIMITS.sets}, () =>
-      Array.from({length: perRank}, (_, i) => i * RANKS + rank),
-    );
-  }
-
-  switchMap(pass: number): void {
-    if (this.armed?.pass !== pass) return;
-    this.map = this.armed.version;
-    this.mapExperts = this.copied!.experts;
-    this.armed = undefined;
-  }
-
-  async report(): Promise<RankReport> {
-    this.checkRunning();
-    const {copied, group} = this;
-    const isCopied = copied && copied.atMs <= group.clock.elapsedMs();
-    return {
-      group: group.name,
-      epoch: 1,
-      rank: this.rank,
-      size: RANKS,
-      open: true,
-      pass: group.pass,
-      map: this.map,
-      prepared: isCopied ? copied.version : undefined,
-      armed: this.armed?.version,
-      held: this.held,
-      running: 10,
-      queued: 0,
-      pace: 1,
-    };
-  }
-
-  async counts(): Promise<readonly number[]> {
-    this.checkRunning();
-    return this.group.counts();
-  }
-
-  async experts() {
-    this.checkRunning();
-    return {version: this.map, experts: this.mapExperts};
-  }
-
-  async order(
-    _epoch: number,
-    order: RankOrder,
-    timeoutMs: number,
-  ): Promise<OrderOutcome> {
-    if (this.stopped) {
-      const {clock} = this.group;
-      await new Promise<void>(done => clock.after(timeoutMs, done));
-      return 'unknown';
-    }
-    return this.carryOut(order) ? 'accepted' : 'refused';
-  }
-
-  private carryOut(order: RankOrder): boolean {
-    const {group, copied} = this;
-    const nowMs = group.clock.elapsedMs();
-    switch (order.kind) {
-      case 'prepare': {
-        if (order.version === copied?.version) return true;
-        if (order.version <= this.highestVersion || this.armed) return false;
-        this.highestVersion = order.version;
-        const experts = order.map.map(ranks => ranks[this.rank]!);
-        const known = this.mapExperts.map(held => new Set(held));
-        const copies = experts.flatMap((held, set) =>
-          held.filter(expert => !known[set]!.has(expert)),
-        ).length;
-        const atMs = nowMs + copies * LIMITS.copyMsPerExpert;
-        this.copied = {version: order.version, atMs, experts};
-        return true;
-      }
-      case 'arm':
-        if (copied?.version !== order.version || copied.atMs > nowMs)
-          return false;
-        if (order.pass <= group.pass) return false;
-        this.armed = {version: order.version, pass: order.pass};
-        return true;
-      case 'disarm':
-        if (this.map === order.version) return false;
-        if (this.armed?.version === order.version) this.armed = undefined;
-        return true;
-      case 'hold':
-        if (order.pass <= group.pass) return false;
-        if (this.held !== undefined && this.held !== order.pass) return false;
-        this.held = order.pass;
-        return true;
-      case 'go':
-        if (this.held === order.pass) this.held = undefined;
-        return true;
-    }
-  }
-
-  private checkRunning(): void {
-    if (this.stopped) throw new Error('engine does not answer');
-  }
-}
-
-/** A machine with a sidecar, and the engine beside it. */
-interface Node {
-  readonly rank: number;
-  readonly group: string;
-  readonly machine: Machine;
-  readonly engine: SimulatedEngine;
-  readonly agent: RankAgent;
-  readonly coordinator: Coordinator;
-}
-
-class Site {
-  readonly clock = new VirtualClock();
-  readonly nodes = new Map<string, Node>();
-
-  constructor() {
-    const {clock} = this;
-    const addresses: string[] = [];
-    for (let g = 0; g < GROUPS; g++) {
-      const group = new SimulatedGroup(`g${g}`, clock);
-      group.engines.forEach((engine, rank) => {
-        const host = `10.${g}.0.${rank + 1}`;
-        addresses.push(`${host}:8325`);
-        const machine = new Machine(clock);
-        const agent = new RankAgent(engine, clock, ignoreLog);
-        const caller = new SimulatedCaller(machine, at => this.nodes.get(at)!);
-        const coordinator = new Coordinator({
-          agent,
-          addresses: () => addresses,
-          sendHeartbeat: (targets, heartbeat) => {
-            for (const address of targets) {
-              const target = this.nodes.get(address.split(':')[0]!)!;
-              machine.sendTo(target.machine, JSON.stringify(heartbeat), () =>
-                target.agent.recordSign(heartbeat),
-              );
-            }
-          },
-          clientFor: address => {
-            const remoteHost = address.split(':')[0]!;
-            return createRankClient(
-              address,
-              `${remoteHost}:${SIDECAR_PORT}`,
-              remoteEngine(machine, this.nodes.get(remoteHost)!),
-              caller,
-              clock,
-            );
-          },
-          limits: () => LIMITS,
-          clock,
-          log: ignoreLog,
-          random: () => 0.5,
-        });
-        this.nodes.set(host, {
-          rank,
-          group: group.name,
-          machine,
-          engine,
-          agent,
-          coordinator,
-        });
-      });
-    }
-    // Processes do not start in the same millisecond.
-    [...this.nodes.values()].forEach(({coordinator}, i) =>
-      clock.after(i * 7, () => coordinator.start()),
-    );
-  }
-
-  runUntil(endMs: number): Promise<void> {
-    return this.clock.run(endMs);
-  }
-
-  /** Nodes other than those of rank 0 that lead. */
-  otherLeaders(): readonly Node[] {
-    return [...this.nodes.values()].filter(
-      ({rank, coordinator}) => rank !== 0 && coordinator.isLeading(),
-    );
-  }
-
-  get firstRanks(): readonly Node[] {
-    return [...this.nodes.values()].filter(({rank}) => rank === 0);
-  }
-}
-
 describe('coordination of 24 ranks on slow links', () => {
   const takeovers: string[] = [];
   let readShares: readonly number[] = [];
   let completed: readonly number[] = [];
 
   before(async () => {
-    const site = new Site();
+    const site = new Site(SHAPE);
     const {clock} = site;
     await site.runUntil(SETTLING_MS);
     const bytesBefore = site.firstRanks.map(n => n.machine.readBytes);
@@ -497,7 +58,7 @@
     readShares = site.firstRanks.map(
       (n, i) =>
         (n.machine.readBytes - bytesBefore[i]!) /
-        (LINK_BYTES_PER_MS * OBSERVED_MS),
+        (SHAPE.linkBytesPerMs * OBSERVED_MS),
     );
     completed = site.firstRanks.map(n => n.coordinator.completedChanges);
   }).timeout(120_000);
@@ -532,7 +93,7 @@
  * the limit of the takeover on, none does.
  */
 async function loseFirstRank() {
-  const site = new Site();
+  const site = new Site(SHAPE);
   const {clock} = site;
   await site.runUntil(SETTLING_MS);
   const lost = site.firstRanks[0]!;
--- a/test/fuzz/mapchange-world.ts
+++ b/test/fuzz/mapchange-world.ts
@@ -373,9 +373,9 @@
     const before = coordinator.state;
     const {state, orders} = decideChange(before, input, {
       nowMs: this.nowMs,
-      inUse: this.currentMap(),
+      inUse: () => this.currentMap(),
       random: () => this.random(1_000_000) / 1_000_000,
-      holdingRanks: this.holdingRanks(index),
+      holdingRanks: () => this.holdingRanks(index),
     });
     coordinator.state = state;
     if (before.phase.kind !== 'releasing' && state.phase.kind === 'releasing') {
--- a/test/mapchange.test.ts
+++ b/test/mapchange.test.ts
@@ -70,8 +70,8 @@
       },
     };
     const decide = (input: ChangeInput, nowMs: number) => {
-      const context = {nowMs, inUse: undefined, random: () => 0};
-      const holdingRanks = new Set<number>();
+      const context = {nowMs, inUse: () => undefined, random: () => 0};
+      const holdingRanks = () => new Set<number>();
       state = decideChange(state, input, {...context, holdingRanks}).state;
     };
     const order = {kind: 'go', pass} as const;
