Map changes: name maps by digest, and pass them on in large groups

Callers saw late streams: groups of 64 ranks kept the map that they had formed with (most loaded rank 3.4 times the mean).

Cause: an order to prepare holds the whole map, 8.7 kB for each of 64 ranks; on a link of 525 kB/s that takes 1.1 s, the timeout of an order is 500 ms, and clearing sends the map in use to every rank while the group is held.

An order now names the map by its digest, the digest of the map in use, and what differs. In groups of more than 24 ranks the difference goes first to about the root of the number of ranks, which pass it on. A rank that does not know a map says so and is sent the difference, then the whole map. A result with another digest is refused, so a wrong base cannot mix maps.

--- a/src/ranks/agent.ts
+++ b/src/ranks/agent.ts
@@ -10,6 +10,7 @@
 import {Clock} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {Engine} from './engine';
+import {KnownMaps, MapReference} from './mapreference';
 import {packChoices, PackedChoices, unpackMap} from './packing';
 import {
   CoordinatorRole,
@@ -21,6 +22,7 @@
 
 export const STATE_PATH = '/state';
 export const ORDER_PATH = '/orders';
+export const MAP_PATH = '/maps';
 
 /**
  * Timeout of an order to the engine on the same instance. Engines answer within
@@ -28,15 +30,37 @@
  */
 const ORDER_TIMEOUT_MS = 40;
 const MAX_ORDER_BYTES = 4_194_304;
+/** The order refers to a map that this sidecar does not know. */
+export const UNKNOWN_MAP_STATUS = 409;
 
 const version = z.number().int().min(0);
 const pass = z.number().int().min(0);
 
-const orderSchema: z.ZodType<RankOrder> = z.discriminatedUnion('kind', [
+/** Bounds the map that a sidecar builds from the shape in an order. */
+const dimension = z.number().int().min(0).max(4_096);
+
+const referenceSchema = z.object({
+  shape: z.object({sets: dimension, ranks: dimension, experts: dimension}),
+  base: z.string(),
+  digest: z.string(),
+  changes: z.string().optional(),
+}) as z.ZodType<MapReference>;
+
+const MAX_RELAY_ADDRESSES = 256;
+
+const mapSchema = z.object({
+  reference: referenceSchema,
+  /** Sidecars to pass the map on to, each an `IP:port`. */
+  passTo: z.array(z.string()).max(MAX_RELAY_ADDRESSES),
+});
+
+const orderSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('prepare'),
     version,
-    map: z.string().transform(unpackMap),
+    /** Absent if the map is given by a reference. */
+    map: z.string().transform(unpackMap).optional(),
+    reference: referenceSchema.optional(),
   }),
   z.object({kind: z.literal('arm'), version, pass}),
   z.object({kind: z.literal('disarm'), version}),
@@ -45,6 +69,7 @@
 ]);
 
 const requestSchema = z.object({epoch: z.number(), order: orderSchema});
+type ReceivedOrder = z.infer<typeof orderSchema>;
 
 /** What a coordinator asks a sidecar for, besides the rank's report. */
 export interface StateQuery {
@@ -100,11 +125,17 @@
   /** The engine's counts when a coordinator last asked for the choices. */
   private lastCounts: {epoch: number; counts: readonly number[]} | undefined;
   private cachedExperts: {key: string; experts: RankExperts} | undefined;
+  private readonly knownMaps = new KnownMaps();
 
   constructor(
     private readonly engine: Engine,
     private readonly clock: Clock,
     private readonly log: Log,
+    /** Sends a map to another sidecar; a lost one is ordered in full later. */
+    private readonly sendMap: (
+      sidecar: string,
+      reference: MapReference,
+    ) => Promise<unknown> = () => Promise.resolve(),
   ) {
     // A rank that has just started does not know whether another one leads.
     this.lastSignMs = clock.elapsedMs();
@@ -195,17 +226,62 @@
       void this.forwardOrder(req, res);
       return;
     }
+    if (req.method === 'POST' && pathname === MAP_PATH) {
+      void this.passMapOn(req, res);
+      return;
+    }
     sendJson(res, 404, {});
   }
 
+  /** Undefined if the order refers to a map that is not known here. */
+  private resolveOrder(received: ReceivedOrder): RankOrder | undefined {
+    if (received.kind !== 'prepare') return received;
+    const {kind, version, map, reference} = received;
+    if (map) {
+      this.knownMaps.remember(map);
+      return {kind, version, map};
+    }
+    if (!reference) throw new Error('order to prepare names no map');
+    const resolved = this.knownMaps.resolve(reference);
+    return resolved && {kind, version, map: resolved};
+  }
+
+  /** Answers when the other sidecars have the map too, or do not answer. */
+  private async passMapOn(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    try {
+      const {reference, passTo} = mapSchema.parse(
+        JSON.parse(await readBody(req)),
+      );
+      const sent = passTo.map(sidecar =>
+        this.sendMap(sidecar, reference).catch((error: unknown) =>
+          this.log('debug', 'map not passed on', {
+            sidecar,
+            reason: String(error),
+          }),
+        ),
+      );
+      const map = this.knownMaps.resolve(reference);
+      await Promise.all(sent);
+      sendJson(res, map ? 200 : UNKNOWN_MAP_STATUS, {});
+    } catch (error) {
+      this.log('debug', 'invalid map dropped', {reason: String(error)});
+      sendJson(res, 400, {});
+    }
+  }
+
   private async forwardOrder(
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
     try {
-      const {epoch, order} = requestSchema.parse(
+      const {epoch, order: received} = requestSchema.parse(
         JSON.parse(await readBody(req)),
       );
+      const order = this.resolveOrder(received);
+      if (!order) return sendJson(res, UNKNOWN_MAP_STATUS, {});
       const outcome = await this.order(epoch, order);
       sendJson(res, 200, {outcome});
     } catch (error) {
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -24,6 +24,7 @@
   OutgoingOrder,
 } from './mapchangestate';
 import {MapDimensions, mapInUse} from './mapinuse';
+import {MapReference, referTo, relaysOf} from './mapreference';
 import {PlacementLimits} from './placement';
 import {ChangePlanner, UsedMap} from './planner';
 import {GroupPoller, PollScope} from './poller';
@@ -85,6 +86,12 @@
   private readonly planner: ChangePlanner;
   /** Ranks whose order to prepare is in flight. */
   private readonly preparingRanks = new Set<number>();
+  /** The map that was last named in an order. */
+  private lastReference:
+    | {readonly map: RankMap; readonly reference: MapReference | undefined}
+    | undefined;
+  /** The map that was last sent to all ranks. */
+  private sentMap: RankMap | undefined;
   private lastDemandReadMs = -Infinity;
   /** Number of readings of the demand. */
   private readings = 0;
@@ -359,8 +366,15 @@
         ? PREPARE_ORDER_TIMEOUT_MS
         : ORDER_TIMEOUT_MS;
     const client = this.poller.clientOf(rank);
+    const reference =
+      order.kind === 'prepare' ? this.referenceTo(order.map) : undefined;
     const outcome = client
-      ? await client.order(epoch, order, {direct, timeoutMs})
+      ? await client.order(epoch, order, {
+          direct,
+          timeoutMs,
+          reference,
+          isMapSent: isPrepare && this.sentMap === order.map,
+        })
       : 'unknown';
     if (isPrepare) this.preparingRanks.delete(rank);
     // The group has formed again in the meantime.
@@ -374,6 +388,15 @@
     return mapInUse(this.poller.states, this.change.size, limits);
   }
 
+  /** Names a map by what differs from the one in use, the same for all ranks. */
+  private referenceTo(map: RankMap): MapReference | undefined {
+    if (this.lastReference?.map === map) return this.lastReference.reference;
+    const inUse = this.currentMap();
+    const reference = inUse && referTo(map, inUse);
+    this.lastReference = {map, reference};
+    return reference;
+  }
+
   private readDemand(): void {
     const {change} = this;
     const limits = this.deps.limits();
@@ -388,6 +411,7 @@
     const used = this.usedMap();
     if (!limits || !used || !this.mayBegin()) return;
     const plan = await this.planner.plan(used, limits);
+    if (plan) await this.sendMap(plan.map);
     // The group may have formed again or changed its map during the search.
     const now = this.usedMap();
     const isCurrent = now?.epoch === used.epoch && now.version === used.version;
@@ -402,6 +426,21 @@
     this.applyInput({kind: 'begin', target: plan.map});
   }
 
+  /** Sends a map to the ranks of a large group before they are ordered to use it. */
+  private async sendMap(map: RankMap): Promise<void> {
+    const {change, poller} = this;
+    const reference = this.referenceTo(map);
+    const relays = relaysOf(change?.size ?? 0);
+    if (!reference || relays.length === 0) return;
+    await Promise.all(
+      relays.map(({rank, others}) => {
+        const passTo = others.flatMap(r => poller.clientOf(r)?.sidecar ?? []);
+        return poller.clientOf(rank)?.sendMap(reference, passTo);
+      }),
+    );
+    this.sentMap = map;
+  }
+
   private mayBegin(): boolean {
     const {change, stopped} = this;
     if (!change || stopped) return false;
--- a/src/ranks/rankclient.ts
+++ b/src/ranks/rankclient.ts
@@ -5,8 +5,16 @@
 import * as z from 'zod';
 import {Clock} from '../kernel/clock';
 import {JsonClient, JsonResponse} from '../kernel/jsonclient';
-import {ORDER_PATH, rankMapKey, StateAnswer, statePath} from './agent';
+import {
+  MAP_PATH,
+  ORDER_PATH,
+  rankMapKey,
+  StateAnswer,
+  statePath,
+  UNKNOWN_MAP_STATUS,
+} from './agent';
 import {Engine} from './engine';
+import {MapReference} from './mapreference';
 import {packMap, unpackChoices} from './packing';
 import {
   Heartbeat,
@@ -19,6 +27,10 @@
 
 /** Least timeout of a state request to a sidecar. */
 const MIN_STATE_TIMEOUT_MS = 300;
+/** Time for a map to reach a sidecar and those that it passes it on to. */
+const MAP_TIMEOUT_MS = 600;
+/** Timeout of a map that a sidecar passes on; its sender waits for it. */
+export const PASSED_MAP_TIMEOUT_MS = 300;
 
 const stateSchema: z.ZodType<StateAnswer> = z.object({
   group: z.string(),
@@ -48,8 +60,15 @@
 export interface RankClient {
   /** Address of the endpoint. */
   readonly address: string;
+  /** Address of its sidecar, an `IP:port`. */
+  readonly sidecar: string;
   /** Reads the rank's state for a coordinator. */
   state(coordinator: Heartbeat, withChoices: boolean): Promise<RankState>;
+  /**
+   * Sends the sidecar a map to pass on to other sidecars. Never rejects, because a
+   * rank that the map does not reach is sent it with the order.
+   */
+  sendMap(reference: MapReference, passTo: readonly string[]): Promise<void>;
   /** Never rejects; `unknown` if there is no answer within `timeoutMs`. */
   order(
     epoch: number,
@@ -63,6 +82,10 @@
   readonly direct: boolean;
   /** Least time to wait for an answer. */
   readonly timeoutMs: number;
+  /** Names the map of an order to prepare; without it the map is sent whole. */
+  readonly reference: MapReference | undefined;
+  /** Whether the rank should know that map already. */
+  readonly isMapSent: boolean;
 }
 
 /**
@@ -135,14 +158,16 @@
     return {...answer, experts, choices: choices ? unpackChoices(choices) : []};
   }
 
+  /** Undefined if the sidecar does not know the map that the order refers to. */
   async function orderSidecar(
     epoch: number,
     order: object,
     leastMs: number,
-  ): Promise<OrderOutcome> {
+  ): Promise<OrderOutcome | undefined> {
     try {
       const sent = {epoch, order};
       const answer = await callSidecar('POST', ORDER_PATH, sent, leastMs);
+      if (answer.status === UNKNOWN_MAP_STATUS) return undefined;
       if (answer.status !== 200) return 'unknown';
       return outcomeSchema.parse(answer.body).outcome;
     } catch {
@@ -153,6 +178,15 @@
 
   return {
     address,
+    sidecar,
+    async sendMap(reference, passTo) {
+      if (isSidecarBypassed()) return;
+      const body = {reference, passTo};
+      // A timeout shows only that a rank to which the map is passed on is slow.
+      await caller
+        .call('POST', sidecar, MAP_PATH, body, MAP_TIMEOUT_MS)
+        .catch(() => undefined);
+    },
     async state(coordinator, withChoices) {
       if (isSidecarBypassed()) return stateFromEngine();
       const path = statePath({coordinator, withChoices, knownMap: known?.key});
@@ -170,12 +204,22 @@
         return stateFromEngine();
       }
     },
-    async order(epoch, order, {direct, timeoutMs}) {
+    async order(epoch, order, {direct, timeoutMs, reference, isMapSent}) {
       if (direct || isSidecarBypassed())
         return engine.order(epoch, order, timeoutMs);
-      const sent =
-        order.kind === 'prepare' ? {...order, map: packMap(order.map)} : order;
-      return orderSidecar(epoch, sent, timeoutMs);
+      if (order.kind !== 'prepare')
+        return (await orderSidecar(epoch, order, timeoutMs)) ?? 'unknown';
+      const {kind, version, map} = order;
+      const named = reference && {...reference, changes: undefined};
+      const forms = [isMapSent ? named : undefined, reference];
+      for (const form of forms) {
+        if (!form) continue;
+        const short = {kind, version, reference: form};
+        const outcome = await orderSidecar(epoch, short, timeoutMs);
+        if (outcome !== undefined) return outcome;
+      }
+      const whole = {kind, version, map: packMap(map)};
+      return (await orderSidecar(epoch, whole, timeoutMs)) ?? 'unknown';
     },
   };
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -32,10 +32,10 @@
 import {MetricsRegistry} from './observe/prometheus';
 import {Log, logFor} from './observe/log';
 import {Program} from './kernel/program';
-import {RankAgent} from './ranks/agent';
+import {MAP_PATH, RankAgent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
 import {PassObserver, PassTarget} from './ranks/passobserver';
-import {createRankClient} from './ranks/rankclient';
+import {createRankClient, PASSED_MAP_TIMEOUT_MS} from './ranks/rankclient';
 import {RoundTrips} from './ranks/roundtrip';
 
 /**
@@ -352,6 +352,14 @@
     createEngineClient(endpoint, jsonClient),
     clock,
     log,
+    (sidecar, reference) =>
+      jsonClient.call(
+        'POST',
+        sidecar,
+        MAP_PATH,
+        {reference, passTo: []},
+        PASSED_MAP_TIMEOUT_MS,
+      ),
   );
   const publisher = new LoadPublisher(
     {host: ip, port: peerPort},
--- a/test/coordinationmodel.ts
+++ b/test/coordinationmodel.ts
@@ -10,7 +10,7 @@
 import {Clock, repeatEvery} from '../src/kernel/clock';
 import {JsonClient, JsonResponse} from '../src/kernel/jsonclient';
 import {Log} from '../src/observe/log';
-import {RankAgent} from '../src/ranks/agent';
+import {MAP_PATH, RankAgent} from '../src/ranks/agent';
 import {Coordinator, ExpertLimits} from '../src/ranks/coordinator';
 import {Engine} from '../src/ranks/engine';
 import {
@@ -19,7 +19,7 @@
   RankOrder,
   RankReport,
 } from '../src/ranks/rank';
-import {createRankClient} from '../src/ranks/rankclient';
+import {createRankClient, PASSED_MAP_TIMEOUT_MS} from '../src/ranks/rankclient';
 import {RoundTrips} from '../src/ranks/roundtrip';
 
 /** The size of a service's groups, and what their machines can carry. */
@@ -432,7 +432,19 @@
         addresses.push(`${host}:8325`);
         const machine = new Machine(clock, shape);
         const caller = new SimulatedCaller(machine, at => this.nodes.get(at)!);
-        const agent = new RankAgent(engine, clock, ignoreLog);
+        const agent = new RankAgent(
+          engine,
+          clock,
+          ignoreLog,
+          (sidecar, reference) =>
+            caller.call(
+              'POST',
+              sidecar,
+              MAP_PATH,
+              {reference, passTo: []},
+              PASSED_MAP_TIMEOUT_MS,
+            ),
+        );
         const roundTrips = new RoundTrips();
         const coordinator = new Coordinator({
           agent,
--- /dev/null
+++ b/test/largegroup.test.ts
@@ -0,0 +1,98 @@
+/**
+ * Coordination of groups of 64 and 128 ranks, on machines with a fraction of a
+ * core and a slow link, in virtual time.
+ *
+ * Guards against groups that keep the map they formed with, because an order to
+ * prepare does not reach all ranks in time; against a coordinator that takes its
+ * own delay for the failure of sidecars and reads their engines; and against
+ * ranks that lead while rank 0 is alive.
+ */
+import {expect} from 'chai';
+import {repeatEvery} from '../src/kernel/clock';
+import {ExpertLimits} from '../src/ranks/coordinator';
+import {Site, SiteShape} from './coordinationmodel';
+
+const LIMITS: ExpertLimits = {
+  sets: 12,
+  experts: 256,
+  slotsPerRank: 5,
+  maxNewPerRankAndSet: 2,
+  maxNewPerRank: 10,
+  minGainPerCopy: 0.01,
+  minSkew: 1.15,
+  minSkewGain: 0.08,
+  copyMsPerExpert: 38,
+};
+
+/** A link of 4.2 Mbit/s, and 0.1 ms of a core a message at 0.4 of a core. */
+const MACHINE = {linkBytesPerMs: 525, messageMs: 0.25};
+
+const SETTLING_MS = 2_000;
+const FIRST_CHANGE_LIMIT_MS = 2_000;
+const OBSERVED_MS = 12_000;
+const LEADERSHIP_CHECK_INTERVAL_MS = 10;
+/** Time for which a change may hold its group. */
+const MAX_HELD_MS_PER_CHANGE = 150;
+/** Part of its 0.4 of a core that a coordinator may use. */
+const MAX_PROCESSOR_SHARE = 0.15 / 0.405;
+
+for (const [ranks, groups] of [
+  [64, 2],
+  [128, 1],
+] as const) {
+  const shape: SiteShape = {
+    groups,
+    ranks,
+    limits: {...LIMITS, slotsPerRank: 2 + Math.ceil(LIMITS.experts / ranks)},
+    ...MACHINE,
+  };
+
+  describe(`coordination of ${ranks} ranks on small machines`, () => {
+    const otherLeaders = new Set<number>();
+    let site: Site;
+    let firstChangeMs = Infinity;
+
+    before(async () => {
+      site = new Site(shape);
+      const {clock} = site;
+      repeatEvery(clock, LEADERSHIP_CHECK_INTERVAL_MS, () => {
+        for (const {rank} of site.otherLeaders()) otherLeaders.add(rank);
+        const isChanged = site.groups.every(g => g.engines[0]!.mapInUse > 0);
+        if (isChanged) {
+          firstChangeMs = Math.min(firstChangeMs, clock.elapsedMs());
+        }
+      });
+      await site.runUntil(SETTLING_MS + OBSERVED_MS);
+    }).timeout(300_000);
+
+    it('completes a first change within 2 s', () => {
+      expect(firstChangeMs).to.be.below(SETTLING_MS + FIRST_CHANGE_LIMIT_MS);
+    });
+
+    it('holds the group for at most 150 ms a change', () => {
+      site.groups.forEach((group, i) => {
+        const {completedChanges} = site.firstRanks[i]!.coordinator;
+        expect(completedChanges).to.be.above(1);
+        expect(group.heldMs / completedChanges).to.be.at.most(
+          MAX_HELD_MS_PER_CHANGE,
+        );
+      });
+    });
+
+    it('reads no engine of another machine while all sidecars run', () => {
+      const reads = [...site.nodes.values()].map(n => n.machine.engineReads);
+      expect(Math.max(...reads)).to.equal(0);
+    });
+
+    it('is led by rank 0 from the start', () => {
+      expect([...otherLeaders]).to.deep.equal([]);
+    });
+
+    it('takes a limited part of the processor of rank 0', () => {
+      for (const {machine} of site.firstRanks) {
+        const share = machine.processor.busyMs / (SETTLING_MS + OBSERVED_MS);
+        expect(share).to.be.below(MAX_PROCESSOR_SHARE);
+      }
+    });
+  });
+}
--- a/test/rankclient.test.ts
+++ b/test/rankclient.test.ts
@@ -75,6 +75,8 @@
     const options = {
       direct: false,
       timeoutMs: 200,
+      reference: undefined,
+      isMapSent: false,
     };
     expect(await client.order(1, go, options)).to.equal('accepted');
     expect(orders).to.deep.equal([go]);
