Catalog: use no registration whose address a later process has registered

Cause: the registrations of the processes from before lapse seconds after their successors have registered at the same addresses. An entry used both until it had found each of them out by a 421; the number of attempts and the budget for retries are used up by then.

Of the registrations at one address only that of the process that started last is used, if all of them say when theirs did, unless a 421 has shown that it is not there.

--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -198,7 +198,9 @@
 /**
  * Endpoints of a service that may get new requests; if none is registered,
  * those whose registration has gone recently. Neither holds an endpoint that
- * `isAvailable` rejects.
+ * `isAvailable` rejects, or one whose address a process that started later has
+ * registered: the registrations of processes that have ended lapse seconds after
+ * their successors are there.
  */
 export function servingEndpoints(
   catalog: Catalog,
@@ -208,10 +210,14 @@
 ): readonly Registration[] {
   const serving: Registration[] = [];
   const lapsed: Registration[] = [];
-  for (const endpoint of endpointsByService(catalog).get(service) ?? []) {
+  const {byService, latestAt} = endpointIndex(catalog);
+  for (const endpoint of byService.get(service) ?? []) {
     if (endpoint.draining) continue;
     if (catalog.zonesOut.has(endpoint.zone)) continue;
     if (endpoint.excludedUntilMs > nowMs) continue;
+    const latest = latestAt.get(endpoint.address) ?? endpoint;
+    // A process that was not found there started by a clock that was wrong.
+    if (latest !== endpoint && latest.excludedUntilMs <= nowMs) continue;
     if (!isAvailable(endpoint.id)) continue;
     if (endpoint.goneSinceMs === undefined) serving.push(endpoint);
     else if (nowMs - endpoint.goneSinceMs <= LAPSED_USE_MS)
@@ -220,23 +226,38 @@
   return serving.length > 0 ? serving : lapsed;
 }
 
-type ServiceEndpoints = ReadonlyMap<string, readonly Registration[]>;
+interface EndpointIndex {
+  readonly byService: ReadonlyMap<string, readonly Registration[]>;
+  /**
+   * The registration at each address whose process started last, where all
+   * registrations at it say when theirs did.
+   */
+  readonly latestAt: ReadonlyMap<string, Registration>;
+}
 
 /**
- * The endpoints of each service for each value of `endpoints`. A gateway asks for
- * them hundreds of times a second, and they change every few seconds.
+ * The index for each value of `endpoints`. A gateway asks for the endpoints of a
+ * service hundreds of times a second, and they change every few seconds.
  */
-const endpointIndexes = new WeakMap<Catalog['endpoints'], ServiceEndpoints>();
+const endpointIndexes = new WeakMap<Catalog['endpoints'], EndpointIndex>();
 
-function endpointsByService({endpoints}: Catalog): ServiceEndpoints {
+function endpointIndex({endpoints}: Catalog): EndpointIndex {
   const known = endpointIndexes.get(endpoints);
   if (known) return known;
-  const index = new globalThis.Map<string, Registration[]>();
+  const byService = new globalThis.Map<string, Registration[]>();
+  const latestAt = new globalThis.Map<string, Registration>();
+  const undated = new globalThis.Set<string>();
   for (const endpoint of endpoints.values()) {
-    const ofService = index.get(endpoint.service);
+    const {service, address, startedMs} = endpoint;
+    const ofService = byService.get(service);
     if (ofService) ofService.push(endpoint);
-    else index.set(endpoint.service, [endpoint]);
+    else byService.set(service, [endpoint]);
+    if (startedMs === undefined) undated.add(address);
+    const latestMs = latestAt.get(address)?.startedMs ?? -Infinity;
+    if ((startedMs ?? -Infinity) > latestMs) latestAt.set(address, endpoint);
   }
+  for (const address of undated) latestAt.delete(address);
+  const index = {byService, latestAt};
   endpointIndexes.set(endpoints, index);
   return index;
 }
