--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -59,6 +59,11 @@
  * it would bring.
  */
 const LATE_ANSWER_MS = 300;
+/**
+ * Least time between two polls that do not wait. While other tables change, the
+ * version is above that of this watch most of the time.
+ */
+const MIN_CHECK_INTERVAL_MS = 3_000;
 /** Longest time for which a watch leaves it to the leading one to call. */
 const MAX_RETRY_PAUSE_MS = 2_000;
 /** Interval at which a watch looks whether the store answers again. */
@@ -76,6 +81,7 @@
   private version: number | undefined;
   private stopped = false;
   private failures = 0;
+  private lastCheckMs = -Infinity;
 
   constructor(
     private readonly table: Table<Change>,
@@ -156,6 +162,7 @@
     for (let version = after; ;) {
       const read = await this.untilStoreIsAhead(version, answer, progress);
       if (read) return {...read, waitMs};
+      this.lastCheckMs = this.clock.elapsedMs();
       const check = await this.table.changes(version, 0);
       if (check.rows === 0) {
         version = Math.max(version, check.version);
@@ -187,7 +194,12 @@
     return new Promise((resolve, reject) => {
       let late: Timer | undefined;
       const ahead = progress.whenAhead(version, () => {
-        late = this.clock.after(LATE_ANSWER_MS, () => resolve(undefined));
+        const nextCheckMs = this.lastCheckMs + MIN_CHECK_INTERVAL_MS;
+        const waitMs = Math.max(
+          LATE_ANSWER_MS,
+          nextCheckMs - this.clock.elapsedMs(),
+        );
+        late = this.clock.after(waitMs, () => resolve(undefined));
       });
       const stopWaiting = () => {
         ahead.cancel();
