Dispatcher: let callers return when a broken group may be open again

They were told to return after 0.4 s, found the group broken, and had no retry left.

A request that an endpoint did not run and that may not be sent again now gets the Retry-After of a service without an endpoint if all groups are broken: up to a third of its time. While a group is open it is 0.4 s as before.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -94,6 +94,9 @@
 /** Shortest Retry-After while all endpoints are full, in ms. */
 const OVERLOAD_RETRY_AFTER_MS = 800;
 
+/** Retry-After for a request that its endpoint did not run, in ms. */
+const NOT_RUN_RETRY_AFTER_MS = 400;
+
 /** Retry-After while stopping, in ms. Other gateways serve the caller at once. */
 const STOPPING_RETRY_AFTER_MS = 50;
 
@@ -668,11 +671,26 @@
     }
   }
 
+  /**
+   * The ranks of a group that breaks refuse what waits at them. A caller that
+   * returned soon would find the group still broken, and most return only once.
+   */
+  retryAfterMs(exchange: Exchange): number {
+    const choice = this.chooseFor(exchange);
+    if (choice.kind === 'none') return this.noEndpointDelayMs(exchange);
+    if (choice.kind !== 'unavailable') return NOT_RUN_RETRY_AFTER_MS;
+    return this.noEndpointDelayMs(exchange, choice.forMs);
+  }
+
   /** `forMs` is the time for which all endpoints are unavailable, if they are. */
   private refuseForNoEndpoint(exchange: Exchange, forMs = Infinity): void {
+    exchange.refuse('no endpoint', this.noEndpointDelayMs(exchange, forMs));
+  }
+
+  private noEndpointDelayMs(exchange: Exchange, forMs = Infinity): number {
     const leftMs = exchange.deadlineMs - this.clock.elapsedMs();
     const delayMs = retryDelayMs(leftMs, this.random);
-    exchange.refuse('no endpoint', Math.min(delayMs, this.addJitter(forMs)));
+    return Math.min(delayMs, this.addJitter(forMs));
   }
 
   private addJitter(ms: number): number {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -45,6 +45,8 @@
   reportLeaving(endpoint: Registration): void;
   /** Called when an endpoint wants no requests for the given time. */
   reportPause(endpoint: Registration, ms: number): void;
+  /** Delay until the caller of a request that was not run should retry, in ms. */
+  retryAfterMs(exchange: Exchange): number;
   /** Takes one retry from the budget; false if there is none left. */
   takeRetry(exchange: Exchange): boolean;
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
@@ -429,7 +431,7 @@
       return this.answerWithFailure(
         NOT_RUN_STATUS,
         reason,
-        NOT_RUN_RETRY_AFTER_MS,
+        this.dispatcher.retryAfterMs(this),
       );
     this.answerWithFailure(UNKNOWN_OUTCOME_STATUS, reason);
   }
@@ -458,7 +460,8 @@
       this.attempt !== undefined || this.attempts.possibleRuns > 0;
     if (this.incoming.res.headersSent) return this.breakOffAnswer('deadline');
     if (running) return this.answerWithFailure(TIMED_OUT_STATUS, 'deadline');
-    this.answerWithFailure(NOT_RUN_STATUS, 'deadline', NOT_RUN_RETRY_AFTER_MS);
+    const retryAfterMs = this.dispatcher.retryAfterMs(this);
+    this.answerWithFailure(NOT_RUN_STATUS, 'deadline', retryAfterMs);
   }
 
   private handleCallerGone(): void {
@@ -537,9 +540,6 @@
   return headers['content-type']?.split(';')[0]!.trim().toLowerCase();
 }
 
-/** Retry-After for a request that was not run, in ms. */
-const NOT_RUN_RETRY_AFTER_MS = 400;
-
 const MS_PER_S = 1_000;
 
 /** Writes a failure answer of the gateway itself. */
