Map changes: begin none before the ranks have switched to the last one

Cause: ranks are no longer asked while they are armed, so that their reports may be from before, and the switch is now planned some passes ahead. After a change that all ranks have confirmed, those that do not report the new map yet count as armed for it, and are asked until they do. The next reading comes when they should have switched. The ranks are first asked whether they have copied when the last one to accept the order should have, which saves a round of polls. The test failed before: another change could begin at once.

--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -97,7 +97,9 @@
   private readings = 0;
   /** Time from one step to the next. */
   private stepIntervalMs = POLL_INTERVAL_MS;
-  /** Earliest time at which the ranks can have copied the ordered experts. */
+  /** Time that the rank with most experts to copy needs for them. */
+  private copyMs = 0;
+  /** Time at which all ranks should have copied the ordered experts. */
   private copyEndMs = -Infinity;
   private leading = false;
   /** This sidecar's group, once it is known. */
@@ -318,6 +320,9 @@
     });
     this.change = state;
     this.updateRole();
+    // The last rank to accept the order begins to copy now.
+    if (haveAllAccepted(state) && !haveAllAccepted(before))
+      this.copyEndMs = clock.elapsedMs() + this.copyMs;
     if (state.phase.kind !== before.phase.kind) {
       const {version, epoch} = state;
       if (state.phase.kind === 'releasing' && state.phase.committed) {
@@ -329,8 +334,9 @@
         // They may still show the hold that has been released.
         this.poller.ignoreEarlierAnswers();
       }
-      // Demand has moved while the experts were copied, so read it now.
-      if (state.phase.kind === 'idle') this.lastDemandReadMs = -Infinity;
+      if (state.phase.kind === 'idle') {
+        this.lastDemandReadMs = this.nextReadingAfter(before);
+      }
       const pass = 'pass' in state.phase ? state.phase.pass : undefined;
       const cause = input.kind === 'answer' ? input.outcome : input.kind;
       this.deps.log('info', 'map change phase', {
@@ -346,6 +352,17 @@
     for (const order of orders) void this.sendOrder(order);
   }
 
+  /**
+   * Time of the last reading that makes the next one due after a change. Demand
+   * has moved while the experts were copied, so the next one comes as soon as the
+   * ranks have switched, which takes about as long again as arming them.
+   */
+  private nextReadingAfter({phase, switchMs}: ChangeState): number {
+    if (phase.kind !== 'releasing' || !phase.committed) return -Infinity;
+    const nowMs = this.deps.clock.elapsedMs();
+    return nowMs + Math.min(0, switchMs - DEMAND_READ_INTERVAL_MS);
+  }
+
   /** Ranks of other coordinators that are alive and hold the group. */
   private holdingRanks(): ReadonlySet<number> {
     const ownRank = this.change?.ownRank;
@@ -426,8 +443,8 @@
       skewBefore: Number(plan.skewBefore.toFixed(3)),
       skewAfter: Number(plan.skewAfter.toFixed(3)),
     });
-    this.copyEndMs =
-      clock.elapsedMs() + plan.maxCopiesPerRank * limits.copyMsPerExpert;
+    this.copyMs = plan.maxCopiesPerRank * limits.copyMsPerExpert;
+    this.copyEndMs = clock.elapsedMs() + this.copyMs;
     this.applyInput({kind: 'begin', target: plan.map});
   }
 
@@ -469,3 +486,7 @@
     return {epoch: change.epoch, version, map, paces};
   }
 }
+
+function haveAllAccepted({phase, size}: ChangeState): boolean {
+  return phase.kind === 'preparing' && phase.acceptedRanks.size === size;
+}
--- a/src/ranks/mapchange.ts
+++ b/src/ranks/mapchange.ts
@@ -418,7 +418,30 @@
   }
   if (!phase.committed) return endWithBackoff(state, nowMs);
   const idle: IdlePhase = {kind: 'idle', backoffUntilMs: nowMs};
-  return {state: {...state, phase: idle, target: undefined}, orders: []};
+  const reports = reportsAsArmed(state);
+  return {
+    state: {...state, phase: idle, target: undefined, reports},
+    orders: [],
+  };
+}
+
+/**
+ * The latest reports, in which ranks that do not report the new map yet are armed
+ * for it. They may have reported before they were armed, and another change
+ * planned for the old map would be refused.
+ */
+function reportsAsArmed({
+  reports,
+  version,
+}: ChangeState): ChangeState['reports'] {
+  const entries = [...reports].map(
+    ([rank, report]) =>
+      [
+        rank,
+        report.map >= version ? report : {...report, armed: version},
+      ] as const,
+  );
+  return new Map(entries);
 }
 
 /**
--- a/test/mapchange.test.ts
+++ b/test/mapchange.test.ts
@@ -6,7 +6,7 @@
  * coordinators at once.
  */
 import {expect} from 'chai';
-import {decideChange} from '../src/ranks/mapchange';
+import {decideChange, mayBeginChange} from '../src/ranks/mapchange';
 import {
   ChangeInput,
   ChangeState,
@@ -82,7 +82,7 @@
     }
   });
 
-  it('plans the switch for when slow ranks will be armed', () => {
+  it('plans the switch for when slow ranks will be armed, then waits', () => {
     // On a fifth of a core, arming 20 ranks took 360 ms while the group waited
     // at a hold three passes of 55 ms ahead, and every stream paused.
     const ARMING_MS = 360;
@@ -112,6 +112,7 @@
     const accept = (rank: number, order: RankOrder) =>
       apply({kind: 'answer', rank, order, outcome: 'accepted'});
     const lead: number[] = [];
+    const mayBegin: boolean[] = [];
     for (let change = 0; change < 2; change++) {
       reportAll(undefined);
       apply({kind: 'begin', target: [ranks.map(rank => [rank])]});
@@ -126,8 +127,12 @@
       }
       for (const {rank, order} of waves) accept(rank, order);
       expect(state.phase.kind).to.equal('idle');
+      mayBegin.push(mayBeginChange(state, nowMs));
       nowMs += 1_000;
     }
+    // The ranks have not switched yet and would refuse another change, which
+    // then waits for the backoff of a failure.
+    expect(mayBegin).to.deep.equal([false, false]);
     expect(lead[0]).to.be.below(ARMING_MS + 4 * PASS_MS);
     expect(lead[1]).to.be.above(ARMING_MS);
   });
