Map changes: give all ranks a map in the same order

Cause: a sidecar that applies changes passes on each rank's experts in ascending order; a map that is sent whole, to a sidecar that does not know the map in use or past one that did not answer, has them in the order in which they were placed. The digest leaves the order out, so both count as the same map here and as two maps for whoever compares them.

Maps are now sorted where they are made: by the search, from the reports, and when a sidecar remembers one.

--- a/src/ranks/mapinuse.ts
+++ b/src/ranks/mapinuse.ts
@@ -7,7 +7,7 @@
  * higher version. It is not known whether engines accept a map in which a rank
  * holds no expert of a set, so such a rank gets one that others hold as well.
  */
-import {RankMap, RankState} from './rank';
+import {RankMap, RankState, sortExperts} from './rank';
 
 /** Dimensions of an expert map. */
 export interface MapDimensions {
@@ -25,7 +25,7 @@
   const newest = Math.max(...[...states.values()].map(s => s.map));
   const upToDate = [...states.values()].filter(s => s.map === newest);
   if (upToDate.length === 0 || upToDate.length < size - 1) return undefined;
-  return Array.from({length: sets}, (_, set) => {
+  const map = Array.from({length: sets}, (_, set) => {
     const held = new Set(upToDate.flatMap(s => s.experts[set] ?? []));
     const rest = Array.from({length: experts}, (_, expert) => expert).filter(
       expert => !held.has(expert),
@@ -36,4 +36,5 @@
       return rest.length > 0 ? rest : [0];
     });
   });
+  return sortExperts(map);
 }
--- a/src/ranks/mapreference.ts
+++ b/src/ranks/mapreference.ts
@@ -16,7 +16,7 @@
  */
 import {createHash} from 'node:crypto';
 import {packMap, packNumbers, unpackNumbers} from './packing';
-import {RankMap} from './rank';
+import {RankMap, sortExperts} from './rank';
 
 /** Dimensions of a group's expert map. */
 export interface MapShape {
@@ -111,7 +111,7 @@
   /** Remembers a map; forgets the one that was used least recently. */
   remember(map: RankMap, digest: string = mapDigest(map)): void {
     this.maps.delete(digest);
-    this.maps.set(digest, map);
+    this.maps.set(digest, sortExperts(map));
     if (this.maps.size <= REMEMBERED_MAPS) return;
     const oldest = this.maps.keys().next().value;
     if (oldest !== undefined) this.maps.delete(oldest);
@@ -168,9 +168,3 @@
   }
   return sortExperts(map.map(ranks => ranks.map(held => [...held])));
 }
-
-function sortExperts(map: RankMap): RankMap {
-  return map.map(ranks =>
-    ranks.map(held => [...held].sort((one, other) => one - other)),
-  );
-}
--- a/src/ranks/placement.ts
+++ b/src/ranks/placement.ts
@@ -12,7 +12,7 @@
  * Skew is the largest load of a set's ranks divided by their mean load.
  */
 import {Clock} from '../kernel/clock';
-import {RankMap} from './rank';
+import {RankMap, sortExperts} from './rank';
 
 export interface PlacementLimits {
   /** Maximum number of experts of a set that a rank can hold. */
@@ -340,7 +340,7 @@
   const skewAfter = meanOf(layouts.map(l => l.skew()));
   if (skewBefore - skewAfter < limits.minSkewGain) return undefined;
   return {
-    map: layouts.map(l => l.ranks.map(held => [...held])),
+    map: sortExperts(layouts.map(l => l.ranks)),
     copies,
     maxCopiesPerRank: Math.max(...copiesOfRank),
     skewBefore,
--- a/src/ranks/rank.ts
+++ b/src/ranks/rank.ts
@@ -14,6 +14,16 @@
 /** Expert map of a group: the experts held, indexed by set, then by rank. */
 export type RankMap = readonly RankExperts[];
 
+/**
+ * The map with each rank's experts in ascending order. All ranks of a group must
+ * be given a map in the same order, whether it was sent whole or as changes.
+ */
+export function sortExperts(map: RankMap): RankMap {
+  return map.map(ranks =>
+    ranks.map(held => [...held].sort((one, other) => one - other)),
+  );
+}
+
 export interface RankReport {
   readonly group: string;
   /** Number of the group's formation; orders for another epoch are refused. */
--- a/test/largegroup.test.ts
+++ b/test/largegroup.test.ts
@@ -30,6 +30,8 @@
 const SETTLING_MS = 2_000;
 const FIRST_CHANGE_LIMIT_MS = 2_000;
 const OBSERVED_MS = 12_000;
+/** When the sidecars of some ranks lose what they know. */
+const RESTART_MS = 5_000;
 const LEADERSHIP_CHECK_INTERVAL_MS = 10;
 /** Time for which a change may hold its group. */
 const MAX_HELD_MS_PER_CHANGE = 150;
@@ -96,3 +98,19 @@
     });
   });
 }
+
+describe('map change of 64 ranks whose sidecars have restarted in part', () => {
+  it('gives all ranks the same map, however they were sent it', async () => {
+    // A sidecar that does not know the map in use is sent the next one whole,
+    // others what differs. Ranks that are given the experts of a map in another
+    // order use another map.
+    const site = new Site({groups: 1, ranks: 64, limits: LIMITS, ...MACHINE});
+    await site.runUntil(RESTART_MS);
+    const restarted = [...site.nodes.values()].filter(n => n.rank % 5 === 3);
+    for (const node of restarted) node.agent = node.startAgent();
+    await site.runUntil(SETTLING_MS + OBSERVED_MS);
+    const [group] = site.groups;
+    expect(group!.mixedPasses).to.deep.equal([]);
+    expect(site.firstRanks[0]!.coordinator.completedChanges).to.be.above(1);
+  }).timeout(300_000);
+});
