--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -24,7 +24,7 @@
 /** Shared parts of a prompt, and the place of the one that crashes runners. */
 const PARTS = Number(process.env.PARTS ?? 18);
 const CRASHING = '91bd3f06';
-const DOWN_MS = 1_800;
+const DOWN_MS = 3_000;
 
 await runCase(import.meta.dirname, async () => {
   const store = new Store();
