--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -26,7 +26,7 @@
 const SPOILED_ANSWER = 50;
 const PLAY_MS = 5_000;
 
-await runCase(import.meta.dirname, async () => {
+await runCase(async () => {
   const store = new Store();
   await store.start();
   let answers = 0;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -24,7 +24,7 @@
 /** `revoke` of the site file: count = 2, gap_s = 1.5. */
 const GAP_MS = 1_500;
 
-await runCase(import.meta.dirname, async () => {
+await runCase(async () => {
   const store = new Store();
   await store.start();
   const runner = new Runner('i-1', 'order-app');
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -28,7 +28,7 @@
 const FREEZE_MS = 2_200;
 const STORE_DOWN_MS = 8_000;
 
-await runCase(import.meta.dirname, async () => {
+await runCase(async () => {
   const store = new Store();
   await store.start();
   const runner = new Runner('i-1', 'order-app');
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -29,7 +29,7 @@
 /** The runner serves for drain-timeout-ms and a little longer, then exits. */
 const SERVES_LONGER_MS = 260;
 
-await runCase(import.meta.dirname, async () => {
+await runCase(async () => {
   const store = new Store();
   await store.start();
   const proxy = new Proxy(store.address);
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -26,7 +26,7 @@
 const CRASHING = '91bd3f06';
 const DOWN_MS = 3_000;
 
-await runCase(import.meta.dirname, async () => {
+await runCase(async () => {
   const store = new Store();
   await store.start();
   const crashes = [];
--- a/review/lib/scene.mjs
+++ b/review/lib/scene.mjs
@@ -23,26 +23,21 @@
 const startMs = performance.now();
 export const nowMs = () => performance.now() - startMs;
 
-const lines = [];
-/** Adds a line to `record.txt`. */
+/** The file that the case's `run.sh` names, `record.txt` in its folder. */
+const recordFile = process.argv[2];
+let lastLine = '';
+/** Adds a line to the record at once. */
 export function record(text) {
-  lines.push(`${(nowMs() / 1000).toFixed(3).padStart(8)} s  ${text}`);
+  lastLine = `${(nowMs() / 1000).toFixed(3).padStart(8)} s  ${text}`;
+  fs.appendFileSync(recordFile, `${lastLine}\n`);
 }
 
 const REPOSITORY = path.resolve(import.meta.dirname, '../..');
 const children = new Set();
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'));
 
-/** Runs a case; its function returns true if the rule held. */
-export async function runCase(caseFolder, play) {
-  let code = 2;
-  try {
-    const held = await play();
-    code = held ? 0 : 1;
-    record(held ? 'the rule held' : 'THE RULE WAS BROKEN');
-  } catch (error) {
-    record(`the case could not run: ${error.stack ?? error}`);
-  }
+/** Ends all processes that this one started, by their ids. */
+function endChildren() {
   for (const child of children) {
     try {
       child.kill('SIGCONT');
@@ -51,12 +46,29 @@
       // It has ended already.
     }
   }
-  fs.writeFileSync(
-    path.join(caseFolder, 'record.txt'),
-    `TROUBLE=${TROUBLE ? 1 : 0}\n${lines.join('\n')}\n`,
-  );
   fs.rmSync(folder, {recursive: true, force: true});
-  console.log(lines.at(-1));
+}
+
+/** Runs a case; its function returns true if the rule held. */
+export async function runCase(play) {
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+    process.on(signal, () => {
+      record(`stopped by ${signal}`);
+      endChildren();
+      process.exit(2);
+    });
+  }
+  fs.writeFileSync(recordFile, `TROUBLE=${TROUBLE ? 1 : 0}\n`);
+  let code = 2;
+  try {
+    const held = await play();
+    code = held ? 0 : 1;
+    record(held ? 'the rule held' : 'THE RULE WAS BROKEN');
+  } catch (error) {
+    record(`the case could not run: ${error.message ?? error}`);
+  }
+  endChildren();
+  console.log(lastLine);
   process.exit(code);
 }
 
