Endpoint answers: check the head before anything of it is used

Cause: Node's parser reads heads that its writer refuses. A status below 100 and a header line with an empty name reached `res.writeHead`, which throws, out of an event handler of the connection to the endpoint. The check of an answer was spread over the steps that use it, and none of them asked whether it can be written.

The head of each answer is now checked once, in upstream.ts, before the exchange sees it: a final status from 200 to 599, and names and values that Node writes. An answer that fails the check is broken, like bytes that are no HTTP; what may not run again ends with 502. A try around `writeHead` was ruled out: the request's state has already changed there, and a stream's first events would be lost.

`RawEndpoint` moves from brokenhead.test.ts to the stand-ins unchanged.

--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -1,12 +1,16 @@
 /**
  * One attempt to send a request to an endpoint, over its own connection.
  *
+ * An answer whose head is not valid counts as broken, like one that is no HTTP;
+ * the handlers see only heads that can be passed on.
+ *
  * If the connection does not open in time, nothing of the request was sent. If
  * the answer names another request, the attempt counts as broken, because it is
  * unknown what the endpoint did with this one.
  */
 import http from 'node:http';
 import net from 'node:net';
+import {answerHeadFault} from '../kernel/answerhead';
 import {AnswerMetadata} from './headercodec';
 
 export interface UpstreamRequest {
@@ -113,6 +117,8 @@
     if (settled) return void answer.destroy();
     response = answer;
     const {statusCode = 0, rawHeaders, headers} = answer;
+    const fault = answerHeadFault(statusCode, rawHeaders);
+    if (fault !== undefined) return fail(fault);
     answer.on('data', (chunk: Buffer) => {
       if (!settled) handlers.data(chunk);
     });
--- a/test/brokenhead.test.ts
+++ b/test/brokenhead.test.ts
@@ -4,10 +4,16 @@
  * Guards against a success with an empty or short body that looks complete, made
  * of an answer whose head was cut, or of a stream without an event.
  */
-import net, {AddressInfo} from 'node:net';
+import net from 'node:net';
 import {expect} from 'chai';
 import {waitUntil} from '../standins/binaryprocess';
 import {Reply, sendAsCaller} from '../standins/caller';
+import {
+  RawAnswer,
+  RawEndpoint,
+  signedAnswer,
+  signedHead,
+} from '../standins/rawendpoint';
 import {StoreStandin} from '../standins/store';
 import {PlatformEntry, startEntries} from './platformentries';
 
@@ -46,57 +52,6 @@
   };
 }
 
-type Answer = (requestId: string, socket: net.Socket) => void;
-
-/** An endpoint that answers with bytes of the test's choice. */
-class RawEndpoint {
-  answer: Answer = (id, socket) => socket.end(whole(id, 'done'));
-  address = '';
-  private readonly sockets = new Set<net.Socket>();
-  private readonly server = net.createServer(socket => {
-    this.sockets.add(socket);
-    socket.on('close', () => this.sockets.delete(socket));
-    socket.on('error', () => undefined);
-    let text = '';
-    socket.on('data', chunk => {
-      text += chunk.toString('latin1');
-      // The body of each request is one character.
-      if (!/\r\n\r\n.$/s.test(text)) return;
-      const id = /boragemill-request-id: (.*)\r/i.exec(text)?.[1] ?? '';
-      this.answer(id, socket);
-    });
-  });
-
-  async start(): Promise<void> {
-    await new Promise<void>(done =>
-      this.server.listen(0, '127.0.0.1', () => done()),
-    );
-    const {port} = this.server.address() as AddressInfo;
-    this.address = `127.0.0.1:${port}`;
-  }
-
-  stop(): void {
-    this.server.close();
-    for (const socket of this.sockets) socket.destroy();
-  }
-}
-
-/** An answer's head, with the blank line that ends it. */
-function head(id: string, ...lines: readonly string[]): string {
-  return [
-    'HTTP/1.1 200 OK',
-    `Boragemill-Request-Id: ${id}`,
-    `Boragemill-Response-Seal: s.${id}`,
-    ...lines,
-    '',
-    '',
-  ].join('\r\n');
-}
-
-function whole(id: string, body: string): string {
-  return head(id, `Content-Length: ${body.length}`) + body;
-}
-
 const ENDS: Readonly<Record<string, (socket: net.Socket) => void>> = {
   closed: socket => socket.end(),
   reset: socket => socket.resetAndDestroy(),
@@ -104,22 +59,22 @@
 
 /** Heads that break off at each of their bytes. */
 const HEADS: Readonly<Record<string, (id: string) => string>> = {
-  'a head with a length': id => head(id, 'Content-Length: 4'),
-  'a chunked head': id => head(id, 'Transfer-Encoding: chunked'),
-  'a head without a length': id => head(id, 'Connection: close'),
+  'a head with a length': id => signedHead(id, 'Content-Length: 4'),
+  'a chunked head': id => signedHead(id, 'Transfer-Encoding: chunked'),
+  'a head without a length': id => signedHead(id, 'Connection: close'),
   'a head after an interim answer': id =>
     'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n' +
-    head(id, 'Content-Length: 4'),
+    signedHead(id, 'Content-Length: 4'),
   'a head with a repeated header': id =>
-    head(id, 'X-Note: a', 'X-Note: b', 'Content-Length: 4'),
+    signedHead(id, 'X-Note: a', 'X-Note: b', 'Content-Length: 4'),
 };
 
 /** Complete answers without an event. */
 const EMPTY_STREAMS: Readonly<Record<string, (id: string) => string>> = {
-  'with a length': id => head(id, 'Content-Length: 0'),
-  'in chunks': id => head(id, 'Transfer-Encoding: chunked') + '0\r\n\r\n',
-  'without a length': id => head(id, 'Connection: close'),
-  'with a comment only': id => whole(id, ': begun\n\n'),
+  'with a length': id => signedHead(id, 'Content-Length: 0'),
+  'in chunks': id => signedHead(id, 'Transfer-Encoding: chunked') + '0\r\n\r\n',
+  'without a length': id => signedHead(id, 'Connection: close'),
+  'with a comment only': id => signedAnswer(id, ': begun\n\n'),
 };
 
 describe('an endpoint whose answer breaks off', () => {
@@ -128,7 +83,7 @@
   let entry: PlatformEntry;
   let requests = 0;
 
-  function answerWith(answer: Answer): void {
+  function answerWith(answer: RawAnswer): void {
     for (const endpoint of endpoints) endpoint.answer = answer;
   }
 
