Product's own interface: check an endpoint's answer where it is received

A service's answer with status 000 or a header without a name went from the sidecar to the entry, where `res.status` or `res.setHeader` throws out of the handler of the link, and with it ends the entry. A line of an engine with a number that is none became a frame that cannot be encoded.

The head is now checked by `answerHeadFault` at each place where one arrives: from the service at the sidecar, from a peer at the entry (a sidecar may run another release), and from a stored claim. Lines of an engine are checked field by field. What fails ends its attempt with an unknown outcome.

That a peer's frame ends the entry was read in replies.ts, not played.

--- a/src/claims/rows.ts
+++ b/src/claims/rows.ts
@@ -8,6 +8,7 @@
  */
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
+import {answerHeadFault} from '../kernel/answerhead';
 import {Row} from '../platform/client';
 import {RecordedAnswer} from './outcomes';
 
@@ -15,14 +16,19 @@
 
 const header = z.object({name: z.string(), value: z.string()});
 
-const storedAnswer = z.object({
-  status: z.number().int(),
-  headers: z.array(header),
-  /** Base64; absent when the body is in the object store. */
-  body: z.string().optional(),
-  /** Hex SHA-256 under which the object store has the body. */
-  hash: z.string().optional(),
-});
+const storedAnswer = z
+  .object({
+    status: z.number().int(),
+    headers: z.array(header),
+    /** Base64; absent when the body is in the object store. */
+    body: z.string().optional(),
+    /** Hex SHA-256 under which the object store has the body. */
+    hash: z.string().optional(),
+  })
+  .refine(({status, headers}) => {
+    const rawHeaders = headers.flatMap(({name, value}) => [name, value]);
+    return answerHeadFault(status, rawHeaders) === undefined;
+  }, 'not the head of an answer');
 
 const claimRow = z.object({
   state: z.enum(['claimed', 'done', 'released', 'unknown']),
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -31,7 +31,11 @@
 import {RequestClaims, recordedAnswer} from './requestclaims';
 import {SidecarLinks} from './links';
 import {QueuedBodies} from './queuedbodies';
-import {toRequestMessages} from './requestmessages';
+import {
+  AddressedMessage,
+  replaceUnfitAnswer,
+  toRequestMessages,
+} from './requestmessages';
 import {decideRequest} from './request';
 import {queueFullFault} from './requestfaults';
 import {
@@ -345,7 +349,7 @@
           incarnation,
           message,
         )) {
-          this.postTo(addressed.requestId, addressed.message);
+          this.postReceived(addressed);
         }
       }
     }
@@ -358,7 +362,15 @@
     if (active && answer.outcome === 'running')
       this.outcomeQueries.restartTimeout(active);
     const incarnation = this.parts.links.incarnation(sidecar);
-    this.postTo(requestId, {kind: 'answer', sidecar, incarnation, answer});
+    const message = {kind: 'answer', sidecar, incarnation, answer} as const;
+    this.postReceived({requestId, message});
+  }
+
+  private postReceived({requestId, message}: AddressedMessage): void {
+    const {targetKind} = this.active.get(requestId)?.request ?? {};
+    const checked =
+      targetKind === 'service' ? replaceUnfitAnswer(message) : message;
+    this.postTo(requestId, checked);
   }
 
   private handleRevoke(sidecar: string, grantId: string): void {
--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -138,6 +138,28 @@
   request.end(JSON.stringify({requestId, attempt}));
 }
 
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
+/**
+ * Reads one line; throws if it is not valid. It is checked by hand, because this
+ * runs for every token.
+ */
+function parseLine(text: string): AnswerLine {
+  const line = JSON.parse(text) as Partial<
+    Record<'cached' | 'o' | 't' | 'end' | 'total' | 'finish', unknown>
+  >;
+  const {cached, o, t, end, total, finish} = line;
+  if (isCount(cached)) return {cached};
+  if (end === true && isCount(total) && typeof finish === 'string')
+    return {end, total, finish};
+  const isText =
+    Array.isArray(t) && t.every(token => typeof token === 'string');
+  if (isCount(o) && isText) return {o, t: t as string[]};
+  throw new Error('a line is not valid');
+}
+
 function readAnswer(
   response: http.IncomingMessage,
   job: Job,
@@ -163,7 +185,7 @@
     try {
       if (partialLine.length > MAX_LINE_CHARS)
         throw new Error('a line is too long');
-      for (const line of lines) read(JSON.parse(line) as AnswerLine);
+      for (const line of lines) read(parseLine(line));
     } catch (error) {
       sink.failed('unknown', String(error));
       response.destroy();
--- a/src/sidecar/service.ts
+++ b/src/sidecar/service.ts
@@ -8,6 +8,7 @@
  */
 import net from 'node:net';
 import got, {OptionsOfBufferResponseBody, RequestError, Response} from 'got';
+import {answerHeadFault} from '../kernel/answerhead';
 import {Clock} from '../kernel/clock';
 import {Header} from '../wire/messages';
 import * as calls from './callstats';
@@ -144,7 +145,13 @@
   });
   call.then(
     response => {
-      onEnd(response.statusCode === OVERLOADED_STATUS ? 'broke' : 'answered');
+      const {statusCode, rawHeaders} = response;
+      const fault = answerHeadFault(statusCode, rawHeaders);
+      if (fault !== undefined) {
+        onEnd('broke');
+        return sink.failed('unknown', `service: ${fault}`);
+      }
+      onEnd(statusCode === OVERLOADED_STATUS ? 'broke' : 'answered');
       sendAnswer(job, sink, response);
     },
     (error: RequestError) => {
