Rank agent: take any request target; close the connection of a body that is refused

The path and query are now split without a parser that can throw.

An order of more than 4 MiB was refused, but its connection stayed open: `for await` destroys the request when the loop throws, and a destroyed request has lost its connection, so the answer went nowhere. The loop now leaves the request, and the refusal closes the connection.

--- a/src/ranks/agent.ts
+++ b/src/ranks/agent.ts
@@ -209,11 +209,12 @@
   }
 
   handle(req: http.IncomingMessage, res: http.ServerResponse): void {
-    const {pathname, searchParams} = new URL(req.url ?? '/', 'http://peer');
-    if (req.method === 'GET' && pathname === STATE_PATH) {
-      const query = readStateQuery(searchParams);
-      this.recordSign(query.coordinator);
-      this.state(query).then(
+    // Any process may send a request here, and not every target is a valid URL.
+    const [path, query = ''] = (req.url ?? '').split('?', 2);
+    if (req.method === 'GET' && path === STATE_PATH) {
+      const stateQuery = readStateQuery(new URLSearchParams(query));
+      this.recordSign(stateQuery.coordinator);
+      this.state(stateQuery).then(
         state => sendJson(res, 200, state),
         (error: unknown) => {
           this.log('debug', 'rank state unavailable', {reason: String(error)});
@@ -222,11 +223,11 @@
       );
       return;
     }
-    if (req.method === 'POST' && pathname === ORDER_PATH) {
+    if (req.method === 'POST' && path === ORDER_PATH) {
       void this.forwardOrder(req, res);
       return;
     }
-    if (req.method === 'POST' && pathname === MAP_PATH) {
+    if (req.method === 'POST' && path === MAP_PATH) {
       void this.passMapOn(req, res);
       return;
     }
@@ -268,7 +269,7 @@
       sendJson(res, map ? 200 : UNKNOWN_MAP_STATUS, {});
     } catch (error) {
       this.log('debug', 'invalid map dropped', {reason: String(error)});
-      sendJson(res, 400, {});
+      refuseBody(res);
     }
   }
 
@@ -286,7 +287,7 @@
       sendJson(res, 200, {outcome});
     } catch (error) {
       this.log('warn', 'invalid order request', {reason: String(error)});
-      sendJson(res, 400, {});
+      refuseBody(res);
     }
   }
 }
@@ -294,7 +295,9 @@
 async function readBody(req: http.IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  for await (const chunk of req) {
+  // A request that is destroyed loses its connection, which then cannot be
+  // answered or closed.
+  for await (const chunk of req.iterator({destroyOnReturn: false})) {
     bytes += (chunk as Buffer).length;
     if (bytes > MAX_ORDER_BYTES)
       throw new Error('order request is larger than 4 MiB');
@@ -303,6 +306,12 @@
   return Buffer.concat(chunks).toString();
 }
 
+/** Closes the connection too, because the body may not have been read whole. */
+function refuseBody(res: http.ServerResponse): void {
+  res.shouldKeepAlive = false;
+  sendJson(res, 400, {});
+}
+
 function sendJson(
   res: http.ServerResponse,
   status: number,
--- a/test/oddregistrations.test.ts
+++ b/test/oddregistrations.test.ts
@@ -19,7 +19,11 @@
 import {freePort, Reply, sendAsCaller} from '../standins/caller';
 import {answerWith, EndpointStandin} from '../standins/endpoint';
 import {StoreStandin} from '../standins/store';
-import {PlatformEntry, startEntries} from './platformentries';
+import {
+  PlatformEntry,
+  startEntries,
+  platformDeployment,
+} from './platformentries';
 
 const NESTING_DEPTH = 100_000;
 /** A row of the store holds 64 KiB, and a read of the stand-in 4 MiB. */
@@ -322,23 +326,10 @@
       service: 'model',
     });
     const deployment: Deployment = {
-      instance: 'sidecar-1',
-      zone: 'z1',
-      ip: '127.0.0.1',
-      callers: undefined,
-      readiness: undefined,
+      ...platformDeployment('sidecar-1', storeAddress),
       peerPort,
-      metricsPort: 0,
       endpoint: engine.address,
       service: 'model',
-      store: storeAddress,
-      bounds: {
-        graceMs: 4_000,
-        revokeMs: 5_000,
-        failClosed: true,
-        retryRatio: 0.2,
-        retryWindowMs: 10_000,
-      },
     };
     const sidecar = wirePlatformSidecar(deployment);
     await sidecar.start();
--- a/test/platformentries.ts
+++ b/test/platformentries.ts
@@ -12,6 +12,34 @@
   readonly peerPort: number;
 }
 
+/** Settings of a process that serves no callers and has no endpoint. */
+export function platformDeployment(
+  instance: string,
+  store: string,
+  bounds: Partial<Deployment['bounds']> = {},
+): Deployment {
+  return {
+    instance,
+    zone: 'z1',
+    ip: '127.0.0.1',
+    callers: undefined,
+    readiness: undefined,
+    peerPort: 0,
+    metricsPort: 0,
+    endpoint: undefined,
+    service: undefined,
+    store,
+    bounds: {
+      graceMs: 4_000,
+      revokeMs: 5_000,
+      failClosed: true,
+      retryRatio: 0.2,
+      retryWindowMs: 10_000,
+      ...bounds,
+    },
+  };
+}
+
 export async function startEntries(
   count: number,
   store: string,
@@ -21,27 +49,11 @@
   for (let i = 0; i < count; i++) {
     const address = `127.0.0.1:${await freePort()}`;
     const peerPort = await freePort();
-    const deployment: Deployment = {
-      instance: `entry-${i}`,
-      zone: 'z1',
-      ip: '127.0.0.1',
+    const program = wirePlatformEntry({
+      ...platformDeployment(`entry-${i}`, store, bounds),
       callers: address,
-      readiness: undefined,
       peerPort,
-      metricsPort: 0,
-      endpoint: undefined,
-      service: undefined,
-      store,
-      bounds: {
-        graceMs: 4_000,
-        revokeMs: 5_000,
-        failClosed: true,
-        retryRatio: 0.2,
-        retryWindowMs: 10_000,
-        ...bounds,
-      },
-    };
-    const program = wirePlatformEntry(deployment);
+    });
     await program.start();
     entries.push({program, address, peerPort});
   }
