Streamed replies: write nothing after the end of the answer

The request before it on the connection had been streamed.

Cause: the text of a stream that arrives during a write is joined and written after it. When the stream ends in that time, `end` writes the joined text but leaves its callbacks pending. The write's callback then flushes an empty text, and an empty chunk is the end of a chunked answer: "0 CRLF CRLF" is sent once more, and the next answer on the connection follows it. Streams of the product's own interface only; the platform's entry writes through `res.write`.

The new test in replies.test.ts sends an event, another during its write, and the end. Before the change the caller gets two ends of the answer in each run; now one. All callbacks are still called, once the end has been written.

--- a/src/entry/replies.ts
+++ b/src/entry/replies.ts
@@ -56,8 +56,14 @@
   }
 
   end(text: string): void {
-    this.res.end(this.text + text);
+    const {pendingCallbacks: takenCallbacks} = this;
+    const rest = this.text + text;
+    // A write that is in progress must not be followed by one after the end.
     this.text = '';
+    this.pendingCallbacks = [];
+    this.res.end(rest, () => {
+      for (const callback of takenCallbacks) callback();
+    });
   }
 
   private flush(): void {
--- a/test/replies.test.ts
+++ b/test/replies.test.ts
@@ -2,15 +2,16 @@
  * Answers of an entry to its callers, over loopback.
  *
  * Guards against a stream that ends after a fault as if it were complete, or
- * with the fault's text among its events.
+ * with the fault's text among its events, and against bytes after its end.
  */
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
+import net, {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import express, {Response} from 'express';
 import {ModelCall} from '../src/entry/modelcall';
 import {streamedReply} from '../src/entry/replies';
 import {createFault} from '../src/kernel/errors';
+import {waitUntil} from '../standins/binaryprocess';
 import {sendAsCaller} from '../standins/caller';
 
 const CALL: ModelCall = {
@@ -37,6 +38,45 @@
   headers: [],
 };
 
+type Sink = ReturnType<typeof streamedReply>;
+type SinkFrame = Parameters<Sink['writeFrame']>[0];
+
+describe('stream that ends while its events are being written', () => {
+  /** All bytes that a caller gets on a connection that stays open. */
+  async function bytesOf(handle: (sink: Sink) => void): Promise<string> {
+    const app = express();
+    app.get('/', (_, res) => handle(streamedReply(res, CALL, 'r-1')));
+    const server = http.createServer(app);
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    const {port} = server.address() as AddressInfo;
+    const socket = net.connect(port, '127.0.0.1');
+    let text = '';
+    socket.on('data', chunk => (text += chunk.toString()));
+    socket.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n');
+    const isOver = () => text.includes('\r\n0\r\n\r\n');
+    await waitUntil(isOver, 'the end of the stream');
+    // A later request on the same connection shows what has followed.
+    socket.write('GET /other HTTP/1.1\r\nHost: x\r\n\r\n');
+    await waitUntil(() => text.includes('404'), 'the next answer');
+    socket.destroy();
+    server.close();
+    return text;
+  }
+
+  it('has no bytes after its end', async () => {
+    const taken: number[] = [];
+    const text = await bytesOf(sink => {
+      const frame = FRAME as unknown as SinkFrame;
+      // The second event waits for the first to be written.
+      sink.writeFrame(frame, () => taken.push(1));
+      sink.writeFrame(frame, () => taken.push(2));
+      sink.writeFrame({...frame, end: true, lengths: []}, () => undefined);
+    });
+    expect(text).to.match(/\[DONE\]\n\n\r\n0\r\n\r\nHTTP\/1.1 404/);
+    expect(taken).to.deep.equal([1, 2]);
+  });
+});
+
 describe('stream that a fault ends after its first event', () => {
   async function replyTo(handle: (res: Response) => void) {
     const app = express();
