Keys: require one whenever the configuration has accounts, even without keys

Cause: whether keys are checked was read off the size of the index of keys. An empty index meant both "no accounts" and "no key is valid any more". The check of the configuration's age is in the same branch and holds too.

Looked at for the same cause: `traffic-split` (an empty one names no service, refused), cold-per-s and slots (absent has a default), the rule file's accounts (a key is always required), zones taken out, groups.

--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -138,7 +138,7 @@
     const metadata = this.deps.headers.readRequest(req.headers);
     const account =
       metadata.key === undefined ? undefined : catalog.keys.get(metadata.key);
-    if (catalog.keys.size > 0 && !route.public) {
+    if (configuration.requiresKeys && !route.public) {
       if (this.areKeysStale()) {
         return sendRefusal(503, 'keys cannot be checked', STALE_RETRY_AFTER_MS);
       }
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -91,6 +91,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
+  /** Whether a request needs a key, unless its route is public. */
+  readonly requiresKeys: boolean;
   readonly accounts: readonly Account[];
   readonly limits: CallerLimits;
 }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -76,6 +76,7 @@
     version,
     routes,
     services: [],
+    requiresKeys: true,
     accounts: [{name: 'a', keys: [`key-${version}`], priority: undefined}],
     limits: {bodyBytes: 1_024, idleTimeoutMs: 1_000},
   };
