Traffic split: pick no service without a weight

A split whose weights are all zero sent its requests to the service named last, and rounding could do the same to a last service with weight 0. A service without a weight is one to which the configuration does not let the request go (ROUTE).

Only services with a weight are now candidates; without any, the request is refused at once with 503 as one whose route has no service.

--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -187,15 +187,20 @@
   }
 }
 
-/** Picks a service of the route at random, by weight. */
-function pickService({split}: Route, random: () => number): string | undefined {
-  const total = split.reduce((sum, s) => sum + s.weight, 0);
+/** Picks a service of the route at random, by weight; none without a weight. */
+export function pickService(
+  {split}: Pick<Route, 'split'>,
+  random: () => number,
+): string | undefined {
+  const weighted = split.filter(({weight}) => weight > 0);
+  const total = weighted.reduce((sum, s) => sum + s.weight, 0);
   let at = random() * total;
-  for (const {service, weight} of split) {
+  for (const {service, weight} of weighted) {
     at -= weight;
     if (at < 0) return service;
   }
-  return split.at(-1)?.service;
+  // Rounding may leave a rest.
+  return weighted.at(-1)?.service;
 }
 
 type BodyResult = Buffer | undefined | 'large' | 'gone';
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -27,6 +27,7 @@
   applyOperatorChange,
   servingEndpoints,
 } from '../src/gateway/catalog';
+import {pickService} from '../src/gateway/callerserver';
 import {ChoiceContext, chooseEndpoint} from '../src/gateway/endpointchoice';
 import {emptyLastSends, isWithinRate} from '../src/gateway/sharedrate';
 import {EventSplitter} from '../src/gateway/eventsplitter';
@@ -310,6 +311,27 @@
   }
 });
 
+describe('traffic split of a route', () => {
+  // A service that is named last, without a weight, must not get the rest.
+  it('picks no service without a weight', () => {
+    const weight = fc.oneof(fc.constant(0), fc.double({min: 0, max: 100}));
+    fc.assert(
+      fc.property(
+        fc.array(weight, {maxLength: 5}),
+        fc.double({min: 0, max: 1, maxExcluded: true}),
+        (weights, random) => {
+          const split = weights.map((w, i) => ({service: `${i}`, weight: w}));
+          const picked = pickService({split}, () => random);
+          const isServed = weights.some(w => w > 0);
+          expect(picked !== undefined).to.equal(isServed);
+          if (isServed) expect(weights[Number(picked)]).to.be.above(0);
+        },
+      ),
+      {seed: 38},
+    );
+  });
+});
+
 describe('event splitter', () => {
   const events = Array.from(
     {length: 20},
