Store answers: date them by the store's clock, not by the time of the reading

Cause: an answer was dated at its call plus the time until it was read, at most the wait that was asked for. A change releases a poll early, and then a freeze or a slow link delays the reading, so the view was taken for up to 2 s newer than it is. Dating each answer at its call alone was ruled out: a poll of 2 s is then up to 4 s old when the next one ends, more than the 3.5 s after which keys are refused.

Each answer names the time of the store's steady clock. Once a minute the leading watch polls without a wait to renew the bound. The age of the view is the larger of the two clocks' differences, because the monotonic clock does not count a suspension.

--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -5,7 +5,7 @@
  * line, header order and bytes, which a framework would rewrite.
  */
 import http from 'node:http';
-import {Clock} from '../kernel/clock';
+import {Clock, msSince} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {Catalog, matchRoute} from './catalog';
 import {IncomingRequest, writeFailure} from './exchange';
@@ -105,8 +105,7 @@
   }
 
   private configurationAgeMs(): number {
-    const {operatorAsOfMs} = this.deps.catalog();
-    return this.deps.clock.elapsedMs() - operatorAsOfMs;
+    return msSince(this.deps.catalog().operatorAsOf, this.deps.clock);
   }
 
   private areKeysStale(): boolean {
--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -5,6 +5,7 @@
  * configuration never replaces a newer one, whatever the order of arrival.
  */
 import {Map, Set} from 'immutable';
+import {Instant} from '../kernel/clock';
 import {Account, Configuration, Endpoint, Route, Service} from './model';
 
 /** A change of the operator's table. */
@@ -43,8 +44,8 @@
   readonly endpoints: Map<string, Registration>;
   /** Zones that are out of service. */
   readonly zonesOut: Set<string>;
-  /** Latest time at which this view of the operator's table was up to date. */
-  readonly operatorAsOfMs: number;
+  /** Latest moment at which this view of the operator's table was up to date. */
+  readonly operatorAsOf: Instant;
 }
 
 /**
@@ -68,14 +69,14 @@
   keys: new globalThis.Map(),
   endpoints: Map(),
   zonesOut: Set(),
-  operatorAsOfMs: -Infinity,
+  operatorAsOf: {elapsedMs: -Infinity, wallMs: -Infinity},
 };
 
 export function applyOperatorChange(
   catalog: Catalog,
   change: OperatorChange,
   isFullRead: boolean,
-  asOfMs: number,
+  asOf: Instant,
 ): Catalog {
   const before = isFullRead ? Set<string>() : catalog.zonesOut;
   let zonesOut = before;
@@ -83,7 +84,7 @@
     zonesOut = out ? zonesOut.add(zone) : zonesOut.remove(zone);
   }
   const next = {...catalog, zonesOut};
-  const confirmed = confirmOperatorTable(next, asOfMs);
+  const confirmed = confirmOperatorTable(next, asOf);
   const {configuration} = change;
   if (!configuration) return confirmed;
   const known = catalog.configuration;
@@ -91,12 +92,10 @@
   return {...confirmed, ...indexConfiguration(configuration)};
 }
 
-export function confirmOperatorTable(
-  catalog: Catalog,
-  asOfMs: number,
-): Catalog {
-  const operatorProvedMs = Math.max(catalog.operatorAsOfMs, asOfMs);
-  return {...catalog, operatorAsOfMs: operatorProvedMs};
+export function confirmOperatorTable(catalog: Catalog, asOf: Instant): Catalog {
+  const {operatorAsOf} = catalog;
+  const isNewer = asOf.elapsedMs > operatorAsOf.elapsedMs;
+  return isNewer ? {...catalog, operatorAsOf: asOf} : catalog;
 }
 
 export function applyEndpointChange(
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -2,7 +2,7 @@
  * Assigns requests to endpoints. It holds the catalog, the loads, the queues
  * and the retry budgets; each decision is made by a module of pure functions.
  */
-import {Clock, Timer} from '../kernel/clock';
+import {Clock, Instant, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {
   countFirstAttempt,
@@ -201,10 +201,10 @@
   handleOperatorChange(
     change: OperatorChange,
     isFullRead: boolean,
-    asOfMs: number,
+    asOf: Instant,
   ): void {
     const before = this.catalog;
-    this.catalog = applyOperatorChange(before, change, isFullRead, asOfMs);
+    this.catalog = applyOperatorChange(before, change, isFullRead, asOf);
     const version = this.catalog.configuration?.version;
     if (version !== before.configuration?.version) {
       this.log('info', 'configuration applied', {version});
@@ -215,8 +215,8 @@
     }
   }
 
-  handleOperatorConfirmation(asOfMs: number): void {
-    this.catalog = confirmOperatorTable(this.catalog, asOfMs);
+  handleOperatorConfirmation(asOf: Instant): void {
+    this.catalog = confirmOperatorTable(this.catalog, asOf);
   }
 
   handleEndpointChange(change: EndpointChange, isFullRead: boolean): void {
--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -5,14 +5,14 @@
  * version read. A failed poll is retried from the same version, so no change is
  * missed. If the store no longer has the changes since that version, the whole
  * table is read again. Each answer confirms that the view was up to date when
- * the store sent it.
+ * the store wrote it.
  *
  * Of the watches of one store, one leads and polls often. The others wait long
  * for their answers. When the leading watch sees a version of the store that is
  * above that of another, either another table has changed or an answer was lost;
  * a poll that does not wait tells which.
  */
-import {Clock, Timer} from '../kernel/clock';
+import {Clock, Instant, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {StoreProgress} from './storeprogress';
 
@@ -25,6 +25,8 @@
   readonly version: number;
   /** Number of rows that the change consists of. */
   readonly rows: number;
+  /** Latest moment at which the read is certain to have been current. */
+  readonly asOf: Instant;
 }
 
 /** A table of the store whose rows are decoded into changes. */
@@ -38,11 +40,11 @@
 export interface Follower<Change> {
   /**
    * Takes all rows (`isFullRead`) or the changes since the last call.
-   * `asOfMs` is the monotonic time at which the view was up to date.
+   * `asOf` is a moment at which the view was up to date.
    */
-  handleChange(change: Change, isFullRead: boolean, asOfMs: number): void;
+  handleChange(change: Change, isFullRead: boolean, asOf: Instant): void;
   /** Called when a poll finds that nothing has changed. */
-  handleNoChange(asOfMs: number): void;
+  handleNoChange(asOf: Instant): void;
 }
 
 /** Backoff after the first failed call, in milliseconds. */
@@ -71,6 +73,12 @@
 /** Interval at which `shouldPoll` is checked while it is false, in ms. */
 const PAUSED_CHECK_INTERVAL_MS = 200;
 
+/**
+ * Interval at which the leading watch polls without a wait, in milliseconds. Only
+ * answers that come at once bound the difference to the store's clock well.
+ */
+const UNWAITED_POLL_INTERVAL_MS = 60_000;
+
 /** The place of a watch among those of the same store. */
 export interface WatchRole {
   readonly progress: StoreProgress;
@@ -81,6 +89,7 @@
   private version: number | undefined;
   private stopped = false;
   private failures = 0;
+  /** When a poll without a wait was last sent. */
   private lastCheckMs = -Infinity;
 
   constructor(
@@ -130,38 +139,33 @@
 
   /** Returns whether rows have changed since the last poll. */
   private async poll(): Promise<boolean> {
-    const sentMs = this.clock.elapsedMs();
     if (this.version === undefined) {
-      const {change, version} = await this.table.read();
+      const {change, version, asOf} = await this.table.read();
       this.version = version;
-      this.follower.handleChange(change, true, sentMs);
+      this.follower.handleChange(change, true, asOf);
       return false;
     }
-    const {change, version, waitMs} = await this.nextChanges(this.version);
+    const {change, version, asOf} = await this.nextChanges(this.version);
     // An answer from an older state of the store confirms nothing.
     if (version < this.version)
       throw new Error('the store answered from an older version than before');
     const changed = version > this.version;
     this.version = version;
-    const waitedMs = this.clock.elapsedMs() - sentMs;
-    const asOfMs = sentMs + Math.min(waitedMs, waitMs);
-    if (changed) this.follower.handleChange(change, false, asOfMs);
-    else this.follower.handleNoChange(asOfMs);
+    if (changed) this.follower.handleChange(change, false, asOf);
+    else this.follower.handleNoChange(asOf);
     return changed;
   }
 
-  /** Polls for changes; also returns the wait that the store was asked for. */
-  private async nextChanges(
-    after: number,
-  ): Promise<DecodedRead<Change> & {readonly waitMs: number}> {
+  /** Polls for changes. */
+  private async nextChanges(after: number): Promise<DecodedRead<Change>> {
     const {progress, leads} = this.role ?? {};
-    // After a failure the answer shows at once that the store answers again.
-    const waitMs = leads && this.failures > 0 ? 0 : this.waitMs;
+    const waitMs = leads && this.mustAnswerAtOnce() ? 0 : this.waitMs;
+    if (waitMs === 0) this.lastCheckMs = this.clock.elapsedMs();
     const answer = this.table.changes(after, waitMs);
-    if (!progress || leads) return {...(await answer), waitMs};
+    if (!progress || leads) return answer;
     for (let version = after; ;) {
       const read = await this.untilStoreIsAhead(version, answer, progress);
-      if (read) return {...read, waitMs};
+      if (read) return read;
       this.lastCheckMs = this.clock.elapsedMs();
       const check = await this.table.changes(version, 0);
       if (check.rows === 0) {
@@ -178,10 +182,18 @@
           reason: String(error),
         }),
       );
-      return {...check, waitMs: 0};
+      return check;
     }
   }
 
+  /** Whether the leading watch's next poll must not wait. */
+  private mustAnswerAtOnce(): boolean {
+    // After a failure the answer shows at once that the store answers again.
+    if (this.failures > 0) return true;
+    const sinceMs = this.clock.elapsedMs() - this.lastCheckMs;
+    return sinceMs >= UNWAITED_POLL_INTERVAL_MS;
+  }
+
   /**
    * Returns the answer; undefined if the store has had a version above `version`
    * for a while and the answer has not arrived.
--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -14,6 +14,26 @@
   after(delayMs: number, action: () => void): Timer;
 }
 
+/** One moment on both clocks, in milliseconds. */
+export interface Instant {
+  readonly elapsedMs: number;
+  readonly wallMs: number;
+}
+
+export function readInstant(clock: Clock): Instant {
+  return {elapsedMs: clock.elapsedMs(), wallMs: clock.now().getTime()};
+}
+
+/**
+ * Time since a moment in the past, in milliseconds, at least the true one. The
+ * monotonic clock does not count the time for which the machine is suspended, and
+ * wall time may be set back; the larger difference counts.
+ */
+export function msSince({elapsedMs, wallMs}: Instant, clock: Clock): number {
+  const now = readInstant(clock);
+  return Math.max(now.elapsedMs - elapsedMs, now.wallMs - wallMs);
+}
+
 export interface Timer {
   cancel(): void;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -27,7 +27,7 @@
 import {listenAt, createReadinessServer} from './gateway/readiness';
 import {StoreProgress} from './gateway/storeprogress';
 import {TableWatch} from './gateway/tablewatch';
-import {Clock, repeatEvery, systemClock, Timer} from './kernel/clock';
+import {Clock, msSince, repeatEvery, systemClock, Timer} from './kernel/clock';
 import {JsonClient} from './kernel/jsonclient';
 import {LoopDelayMonitor} from './observe/loopdelay';
 import {MetricsRegistry} from './observe/prometheus';
@@ -192,13 +192,13 @@
   const operatorWatch = new TableWatch(
     operatorTable(store, log),
     {
-      handleChange(change, isFullRead, asOfMs) {
-        dispatcher.handleOperatorChange(change, isFullRead, asOfMs);
+      handleChange(change, isFullRead, asOf) {
+        dispatcher.handleOperatorChange(change, isFullRead, asOf);
         const idleMs =
           dispatcher.currentCatalog().configuration?.limits.idleTimeoutMs;
         if (idleMs !== undefined) callerServer.setIdleTimeout(idleMs);
       },
-      handleNoChange: asOfMs => dispatcher.handleOperatorConfirmation(asOfMs),
+      handleNoChange: asOf => dispatcher.handleOperatorConfirmation(asOf),
     },
     OPERATOR_POLL_WAIT_MS,
     clock,
@@ -272,7 +272,7 @@
     () => crashMonitor.quarantinedCount,
   );
   registry.registerGauge('boragemill_configuration_age_ms', () =>
-    Math.round(clock.elapsedMs() - dispatcher.currentCatalog().operatorAsOfMs),
+    Math.round(msSince(dispatcher.currentCatalog().operatorAsOf, clock)),
   );
   return {
     async start() {
@@ -377,8 +377,8 @@
   const operatorWatch = new TableWatch(
     operatorTable(store, log),
     {
-      handleChange(change, isFullRead, asOfMs) {
-        catalog = applyOperatorChange(catalog, change, isFullRead, asOfMs);
+      handleChange(change, isFullRead, asOf) {
+        catalog = applyOperatorChange(catalog, change, isFullRead, asOf);
       },
       handleNoChange: () => undefined,
     },
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -27,6 +27,7 @@
   applyOperatorChange,
   servingEndpoints,
 } from '../src/gateway/catalog';
+import {Instant} from '../src/kernel/clock';
 import {pickService} from '../src/gateway/callerserver';
 import {ChoiceContext, chooseEndpoint} from '../src/gateway/endpointchoice';
 import {emptyLastSends, isWithinRate} from '../src/gateway/sharedrate';
@@ -83,13 +84,17 @@
   };
 }
 
+function instantAt(ms: number): Instant {
+  return {elapsedMs: ms, wallMs: ms};
+}
+
 function withConfiguration(
   before: Catalog,
   version: number,
   asOfMs = 0,
 ): Catalog {
   const change = {configuration: configuration(version), zones: new Map()};
-  return applyOperatorChange(before, change, false, asOfMs);
+  return applyOperatorChange(before, change, false, instantAt(asOfMs));
 }
 
 function endpoint(id: string, overrides: Partial<Endpoint> = {}): Endpoint {
@@ -122,7 +127,7 @@
     expect(after.configuration?.version).to.equal(9);
     expect(after.keys.has('key-9')).to.equal(true);
     expect(after.keys.has('key-7')).to.equal(false);
-    expect(after.operatorAsOfMs).to.equal(50);
+    expect(after.operatorAsOf.elapsedMs).to.equal(50);
   });
 
   it('matches the longest prefix of the host', () => {
@@ -132,7 +137,12 @@
       prefix,
     }));
     const change = {configuration: configuration(1, routes), zones: new Map()};
-    const catalog = applyOperatorChange(emptyCatalog, change, true, 0);
+    const catalog = applyOperatorChange(
+      emptyCatalog,
+      change,
+      true,
+      instantAt(0),
+    );
     const match = (path: string, host = 'Desk.Example:80') =>
       matchRoute(catalog, host, path)?.name;
     expect(match('/a/b/c?x=/d/')).to.equal('/a/b/');
@@ -149,14 +159,14 @@
       0,
     );
     const out = {configuration: undefined, zones: new Map([['out', true]])};
-    const evacuated = applyOperatorChange(known, out, false, 0);
+    const evacuated = applyOperatorChange(known, out, false, instantAt(0));
     expect(servingIds(evacuated, 0)).to.deep.equal(['e2']);
     const back = {configuration: undefined, zones: new Map([['out', false]])};
-    const again = applyOperatorChange(evacuated, back, false, 0);
+    const again = applyOperatorChange(evacuated, back, false, instantAt(0));
     expect(servingIds(again, 0)).to.deep.equal(['e1', 'e2']);
     // A full read without the zone's row puts it back as well.
     const whole = {configuration: undefined, zones: new Map()};
-    const read = applyOperatorChange(evacuated, whole, true, 0);
+    const read = applyOperatorChange(evacuated, whole, true, instantAt(0));
     expect(servingIds(read, 0)).to.deep.equal(['e1', 'e2']);
   });
 
--- a/test/storeprogress.test.ts
+++ b/test/storeprogress.test.ts
@@ -9,6 +9,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {VirtualClock} from '../bench/support/virtualclock';
+import {readInstant} from '../src/kernel/clock';
 import {StoreProgress} from '../src/gateway/storeprogress';
 import {DecodedRead, Table, TableWatch} from '../src/gateway/tablewatch';
 
@@ -59,7 +60,8 @@
     const change = this.changes
       .filter(c => c.table === name && c.version > after)
       .map(c => c.version);
-    return {change, version: this.version, rows: change.length};
+    const asOf = readInstant(this.clock);
+    return {change, version: this.version, rows: change.length, asOf};
   }
 
   private untilChanged(
--- a/test/tablewatch.test.ts
+++ b/test/tablewatch.test.ts
@@ -11,7 +11,7 @@
   HistoryGoneError,
   TableWatch,
 } from '../src/gateway/tablewatch';
-import {Clock} from '../src/kernel/clock';
+import {Clock, readInstant} from '../src/kernel/clock';
 
 interface Seen {
   readonly change: string;
@@ -37,10 +37,16 @@
   };
 }
 
+type UndatedRead = Omit<DecodedRead<string>, 'asOf'>;
+
+function dated(read: UndatedRead, clock: Clock): DecodedRead<string> {
+  return {...read, asOf: readInstant(clock)};
+}
+
 /** Runs a watch over scripted answers until they are used up. */
 async function runWatch(
-  reads: (() => DecodedRead<string>)[],
-  changes: ((version: number) => DecodedRead<string>)[],
+  reads: (() => UndatedRead)[],
+  changes: ((version: number) => UndatedRead)[],
 ) {
   const clock = jumpingClock();
   const seen: Seen[] = [];
@@ -50,7 +56,7 @@
     {
       name: 't',
       async read() {
-        return reads.shift()!();
+        return dated(reads.shift()!(), clock);
       },
       async changes(version, waitMs) {
         const answer = changes.shift();
@@ -59,15 +65,15 @@
           throw new Error('end of the script');
         }
         clock.advance(waitMs);
-        return answer(version);
+        return dated(answer(version), clock);
       },
     },
     {
-      handleChange(change, isFullRead, asOfMs) {
+      handleChange(change, isFullRead, asOf) {
         seen.push({change, isFullRead});
-        confirmations.push(asOfMs);
+        confirmations.push(asOf.elapsedMs);
       },
-      handleNoChange: asOfMs => confirmations.push(asOfMs),
+      handleNoChange: asOf => confirmations.push(asOf.elapsedMs),
     },
     1_000,
     clock,
