Answers read with got: give up one that is larger than its limit

It can happen here, in the product's own programs: an observation of an engine keeps up to 500 ms of bytes, a report of experts 2 s, a read of the platform its time limit.

Such calls now reject once their answer is over a limit: 64 KiB, 4 MiB and 64 MiB.

--- a/src/experts/engine.ts
+++ b/src/experts/engine.ts
@@ -9,6 +9,7 @@
  */
 import got from 'got';
 import {z} from 'zod';
+import {limitDownload} from '../kernel/downloadlimit';
 import {MapOrder} from './group';
 import {Shape} from './map';
 
@@ -52,12 +53,14 @@
 }
 
 const REQUEST_TIMEOUT_MS = 2_000;
+/** A report has a number for each expert of each layer. */
+const MAX_REPORT_BYTES = 4_194_304;
 
 export function createRankEngine(
   url: string,
   weightStoreUrl: string,
 ): RankEngine {
-  const http = got.extend({
+  const http = got.extend(limitDownload(MAX_REPORT_BYTES), {
     prefixUrl: `${url}/experts`,
     timeout: {request: REQUEST_TIMEOUT_MS},
     retry: {limit: 0},
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -9,6 +9,7 @@
 import got, {Got, HTTPError} from 'got';
 import * as z from 'zod';
 import {parseAddress} from '../kernel/address';
+import {limitDownload} from '../kernel/downloadlimit';
 import {Log, logFor} from '../observe/log';
 import {PlatformSettings} from '../settings/schema';
 
@@ -68,6 +69,8 @@
 const HTTP_NOT_FOUND = 404;
 const HTTP_UNAVAILABLE = 503;
 
+/** Limit on an answer: a list of all rows, or an object. */
+const MAX_ANSWER_BYTES = 67_108_864;
 const MAX_NAME_CHARACTERS = 200;
 /** Faults of the list are cut to this length in the log. */
 const MAX_LOGGED_FAULT_CHARACTERS = 500;
@@ -103,7 +106,7 @@
     return reads.flatMap(({data}) => (data ? [data] : []));
   }
 
-  const http = got.extend({
+  const http = got.extend(limitDownload(MAX_ANSWER_BYTES), {
     prefixUrl: settings.url,
     timeout: {request: settings.timeoutMs},
     retry: {limit: 0},
--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -12,6 +12,7 @@
 import {StringDecoder} from 'node:string_decoder';
 import got from 'got';
 import {z} from 'zod';
+import {limitDownload} from '../kernel/downloadlimit';
 import {
   AnswerSink,
   Endpoint,
@@ -39,6 +40,7 @@
 
 const OBSERVE_TIMEOUT_MS = 500;
 const CANCEL_TIMEOUT_MS = 2_000;
+const MAX_STATE_BYTES = 65_536;
 /** Longest incomplete line that is buffered, in characters. */
 const MAX_LINE_CHARS = 1_048_576;
 
@@ -49,8 +51,10 @@
   };
 }
 
+const stateClient = got.extend(limitDownload(MAX_STATE_BYTES));
+
 async function observe(url: string): Promise<EndpointState> {
-  const answer = await got(`${url}/state`, {
+  const answer = await stateClient(`${url}/state`, {
     timeout: {request: OBSERVE_TIMEOUT_MS},
     retry: {limit: 0},
   }).json();
