Store clock: poll without a wait after an answer that was old when it arrived

Found while reading the change of the store's clock: its bound was renewed every 300 s only. A step of wall time forward, a suspension or a slow first read left it poor for as long, answers were dated at their calls, and a view was up to 3.55 s old when the next poll ended; keys are refused after 3.5 s. No caller has seen it.

The leading watch now polls without a wait after an answer that was over 200 ms old on its arrival, which covers the drift too, in place of the fixed interval.

storeclock.test.ts sets wall time 2 s ahead: after one answer that came at once, a poll that waited 2 s is dated within 50 ms. tablewatch.test.ts checks the waits: 1,000, 0, 1,000 ms after an answer of 1.5 s; before, no poll without a wait followed.

--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -14,7 +14,7 @@
  * again after a failure, the others poll anew, because their connections may have
  * gone silent with its own. watchtimes.ts has the times of these steps.
  */
-import {Clock, Instant, Timer} from '../kernel/clock';
+import {Clock, Instant, msSince, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {StoreProgress} from './storeprogress';
 import {FIRST_BACKOFF_MS, WatchTimes} from './watchtimes';
@@ -65,10 +65,11 @@
 const PAUSED_CHECK_INTERVAL_MS = 200;
 
 /**
- * Interval at which the leading watch polls without a wait, in milliseconds. Only
- * answers that come at once bound the difference to the store's clock well.
+ * Age of an answer on its arrival above which the leading watch's next poll does
+ * not wait, in milliseconds. Only an answer that comes at once bounds the
+ * difference to the store's clock well, by which the others are dated.
  */
-const UNWAITED_POLL_INTERVAL_MS = 300_000;
+const MAX_ARRIVAL_AGE_MS = 200;
 
 /** The place of a watch among those of the same store. */
 export interface WatchRole {
@@ -83,7 +84,8 @@
   private failures = 0;
   /** Pause before the next poll. */
   private pausedMs = 0;
-  /** When a poll without a wait was last sent. */
+  /** Whether the last answer was old when it arrived. */
+  private wasAnswerOld = false;
   private lastCheckMs = -Infinity;
 
   constructor(
@@ -137,6 +139,7 @@
     if (this.version === undefined) {
       const {change, version, asOf} = await this.table.read();
       this.version = version;
+      this.recordArrival(asOf);
       this.follower.handleChange(change, true, asOf);
       return false;
     }
@@ -146,6 +149,7 @@
       throw new Error('the store answered from an older version than before');
     const changed = version > this.version;
     this.version = version;
+    this.recordArrival(asOf);
     if (changed) this.follower.handleChange(change, false, asOf);
     else this.follower.handleNoChange(asOf);
     return changed;
@@ -155,7 +159,6 @@
   private async nextChanges(after: number): Promise<DecodedRead<Change>> {
     const {role} = this;
     const waitMs = role?.leads ? this.leadingWaitMs() : this.waitMs;
-    if (waitMs === 0) this.lastCheckMs = this.clock.elapsedMs();
     const answer = this.table.changes(after, waitMs);
     if (!role || role.leads) return answer;
     const {progress} = role;
@@ -191,9 +194,7 @@
   /** The wait of the leading watch's next poll. */
   private leadingWaitMs(): number {
     // After a failure the answer shows at once that the store answers again.
-    if (this.failures > 0) return 0;
-    const sinceCheckMs = this.clock.elapsedMs() - this.lastCheckMs;
-    if (sinceCheckMs >= UNWAITED_POLL_INTERVAL_MS) return 0;
+    if (this.failures > 0 || this.wasAnswerOld) return 0;
     // The other watches rely on an answer by the end of the wait, pauses included.
     return Math.max(0, this.waitMs - this.pausedMs);
   }
@@ -249,6 +250,10 @@
     }
   }
 
+  private recordArrival(asOf: Instant): void {
+    this.wasAnswerOld = msSince(asOf, this.clock) > MAX_ARRIVAL_AGE_MS;
+  }
+
   private recordSuccess(): void {
     if (this.role?.leads && this.version !== undefined)
       this.role.progress.recordAnswer(this.version);
--- a/test/storeclock.test.ts
+++ b/test/storeclock.test.ts
@@ -15,7 +15,9 @@
   trueMs = 1_000_000;
   private suspendedMs = 0;
 
-  now = () => new Date(this.trueMs);
+  private stepMs = 0;
+
+  now = () => new Date(this.trueMs + this.stepMs);
   elapsedMs = () => this.trueMs - this.suspendedMs;
 
   after(): never {
@@ -26,6 +28,10 @@
     this.trueMs += ms;
   }
 
+  setWallTime(stepMs: number): void {
+    this.stepMs += stepMs;
+  }
+
   suspend(ms: number): void {
     this.trueMs += ms;
     this.suspendedMs += ms;
@@ -104,6 +110,23 @@
     }
   });
 
+  it('is close to its end again after wall time was set, once one came at once', () => {
+    const clock = new MachineClock();
+    const storeClock = new StoreClock(clock);
+    const callFor = (waitMs: number): Instant => {
+      const sent = readInstant(clock);
+      clock.pass(4 + waitMs);
+      const {trueMs} = clock;
+      clock.pass(4);
+      return storeClock.date(sent, trueMs);
+    };
+    callFor(0);
+    clock.setWallTime(2_000);
+    callFor(2_000);
+    callFor(0);
+    expect(msSince(callFor(2_000), clock)).to.be.below(50);
+  });
+
   it('is that of the call if the answer names no time', () => {
     const clock = new MachineClock();
     const sent = readInstant(clock);
--- a/test/tablewatch.test.ts
+++ b/test/tablewatch.test.ts
@@ -6,11 +6,13 @@
  * the answer came from an older state of the store.
  */
 import {expect} from 'chai';
+import {StoreProgress} from '../src/gateway/storeprogress';
 import {
   DecodedRead,
   HistoryGoneError,
   TableWatch,
 } from '../src/gateway/tablewatch';
+import {watchTimes} from '../src/gateway/watchtimes';
 import {Clock, readInstant} from '../src/kernel/clock';
 
 interface Seen {
@@ -127,6 +129,47 @@
     ]);
   });
 
+  // Keys would be refused again and again, until an answer came at once by chance.
+  it('polls without a wait after an answer that was old, if it leads', async () => {
+    const clock = jumpingClock();
+    const waits: number[] = [];
+    const ages = [0, 1_500, 0, 0];
+    const read = () => {
+      const {elapsedMs, wallMs} = readInstant(clock);
+      const ageMs = ages.shift() ?? 0;
+      const asOf = {elapsedMs: elapsedMs - ageMs, wallMs: wallMs - ageMs};
+      return {change: '', version: 5, rows: 0, asOf};
+    };
+    const watch: TableWatch<string> = new TableWatch(
+      {
+        name: 't',
+        read: async () => read(),
+        async changes(version, waitMs) {
+          waits.push(waitMs);
+          clock.advance(waitMs);
+          if (waits.length === 4) watch.stop();
+          return read();
+        },
+      },
+      {handleChange: () => undefined, handleNoChange: () => undefined},
+      1_000,
+      clock,
+      () => undefined,
+      undefined,
+      {
+        progress: new StoreProgress(),
+        leads: true,
+        times: watchTimes({
+          drainMs: 2_000,
+          configurationMs: 2_000,
+          contactMs: 3_000,
+        }),
+      },
+    );
+    await watch.run();
+    expect(waits).to.deep.equal([1_000, 0, 1_000, 1_000]);
+  });
+
   it('does not count an answer from an older state as confirmation', async () => {
     const {seen, proofs} = await runWatch(
       [() => ({change: 'all', version: 5, rows: 1})],
