--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -86,6 +86,7 @@
   private pausedMs = 0;
   /** Whether the last answer was old when it arrived. */
   private wasAnswerOld = false;
+  /** When a poll that does not wait was last sent for a lost answer. */
   private lastCheckMs = -Infinity;
 
   constructor(
--- a/src/kernel/jsonclient.ts
+++ b/src/kernel/jsonclient.ts
@@ -82,6 +82,10 @@
     });
   }
 
+  close(): void {
+    this.agent.destroy();
+  }
+
   /**
    * What has silenced one connection may have silenced the idle ones too, and each
    * later call would take one of them and time out.
@@ -90,10 +94,6 @@
     const idle = this.agent.freeSockets[this.agent.getName({host, port})] ?? [];
     for (const socket of [...idle]) socket.destroy();
   }
-
-  close(): void {
-    this.agent.destroy();
-  }
 }
 
 function parseJson(bytes: Buffer): unknown {
