Store watches: bound the wait of the leading poll by the age at which keys are refused

Cause: watchTimes derived the wait from the drain, configuration and contact bounds alone. With bounds of 4,000, 4,000 and 5,000 ms the leading poll waits for 3,750 ms, and keys are refused once the configuration was confirmed more than 3,500 ms ago. Ruled out: the dating of answers (an answer at the end of a wait is dated within a round trip in the model).

Change: an answer that takes its whole time limit still arrives before that age. The wait becomes 2,700 ms with drain bounds of 3,000 ms (was 2,750) and of 4,000 ms (was 3,750), and stays at 1,750 ms with 2,000 ms.

--- a/src/gateway/watchtimes.ts
+++ b/src/gateway/watchtimes.ts
@@ -9,6 +9,11 @@
  * has changed. If the leading watch's own connection is silent, its poll has to
  * time out first; all watches have caught up again by the time at which an instance
  * counts as in touch.
+ *
+ * Keys are refused while the configuration was confirmed too long ago. The answer to
+ * each poll of the leading watch confirms it, so even one that arrives at its time
+ * limit has to come before that age. With a drain bound of 4,000 ms and keys refused
+ * after 3,500 ms, a wait of 3,750 ms refused all keys for moments in calm.
  */
 
 /** Bounds of the platform, in milliseconds. */
@@ -19,6 +24,8 @@
   readonly configurationMs: number;
   /** After which an instance that was disturbed counts as in touch again. */
   readonly contactMs: number;
+  /** Age of the configuration above which keys are refused; may be infinite. */
+  readonly keyAgeMs: number;
 }
 
 /** Times of the watches, in milliseconds. */
@@ -70,6 +77,13 @@
   return timeout + retry + check + SENDING_MS;
 }
 
+/** Age of the configuration when a late answer to a leading poll is read. */
+export function confirmedAgeMs(
+  times: Omit<WatchTimes, 'checkIntervalMs'>,
+): number {
+  return times.leadingWaitMs + times.answerTimeoutMs;
+}
+
 /** The longest waits with which all bounds hold. */
 export function watchTimes(bounds: WatchBounds): WatchTimes {
   const times = {
@@ -78,12 +92,13 @@
     answerTimeoutMs: ANSWER_TIMEOUT_MS,
     lateAnswerMs: LATE_ANSWER_MS,
   };
-  const {drainMs, configurationMs, contactMs} = bounds;
+  const {drainMs, configurationMs, contactMs, keyAgeMs} = bounds;
   const leadingWaitMs = Math.max(
     MIN_LEADING_WAIT_MS,
     Math.min(
       Math.min(drainMs, configurationMs) - noticeMs(times),
       contactMs - recoveryMs(times),
+      keyAgeMs - confirmedAgeMs(times),
     ),
   );
   // A check that another change has caused must not delay the next one beyond
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -6,7 +6,7 @@
 import {createCrashStore} from '../platform/crashes';
 import {platformHeaders} from '../platform/headers';
 import {createEngineClient} from '../platform/engineclient';
-import {Deployment} from '../platform/settings';
+import {Bounds, Deployment} from '../platform/settings';
 import {createStoreClient} from '../platform/store';
 import {crashTable, endpointTable, operatorTable} from '../platform/tables';
 import {
@@ -89,7 +89,8 @@
   const {instance, zone, bounds, ip, peerPort} = deployment;
   const log = logFor('entry', {instance, zone});
   const jsonClient = new JsonClient();
-  const times = watchTimes(deployment.bounds);
+  const keyAgeMs = maxConfigurationAgeMs(bounds);
+  const times = watchTimes({...bounds, keyAgeMs});
   const store = createStoreClient(
     deployment.store,
     jsonClient,
@@ -179,9 +180,7 @@
         status: String(status),
         reason,
       }),
-    maxConfigurationAgeMs: bounds.failClosed
-      ? bounds.revokeMs * MAX_CONFIGURATION_AGE_FRACTION
-      : Infinity,
+    maxConfigurationAgeMs: keyAgeMs,
     random: Math.random,
   });
   const progress = new StoreProgress();
@@ -306,6 +305,11 @@
   };
 }
 
+/** Age of the configuration above which keys are refused. */
+function maxConfigurationAgeMs({failClosed, revokeMs}: Bounds): number {
+  return failClosed ? revokeMs * MAX_CONFIGURATION_AGE_FRACTION : Infinity;
+}
+
 function roundedMs(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
@@ -349,7 +353,7 @@
   const {instance, zone, ip, peerPort, endpoint = '', service} = deployment;
   const log = logFor('sidecar', {instance, zone});
   const jsonClient = new JsonClient();
-  const times = watchTimes(deployment.bounds);
+  const times = watchTimes({...deployment.bounds, keyAgeMs: Infinity});
   const store = createStoreClient(
     deployment.store,
     jsonClient,
--- a/test/silentstore.test.ts
+++ b/test/silentstore.test.ts
@@ -7,7 +7,12 @@
  */
 import {expect} from 'chai';
 import * as fc from 'fast-check';
-import {noticeMs, recoveryMs, watchTimes} from '../src/gateway/watchtimes';
+import {
+  confirmedAgeMs,
+  noticeMs,
+  recoveryMs,
+  watchTimes,
+} from '../src/gateway/watchtimes';
 import {waitUntil} from '../standins/binaryprocess';
 import {sendAsCaller} from '../standins/caller';
 import {answerWith, EndpointStandin} from '../standins/endpoint';
@@ -150,19 +155,27 @@
   it('add up to no more than the bounds, which differ from site to site', () => {
     const ms = (min: number) => fc.integer({min, max: 20_000});
     fc.assert(
-      fc.property(ms(500), ms(500), ms(1_500), (drain, configure, contact) => {
-        const bounds = {
-          drainMs: drain,
-          configurationMs: configure,
-          contactMs: contact,
-        };
-        const times = watchTimes(bounds);
-        expect(noticeMs(times)).to.be.at.most(Math.min(drain, configure));
-        expect(recoveryMs(times)).to.be.at.most(contact);
-        expect(times.checkIntervalMs).to.be.at.most(
-          times.leadingWaitMs + times.lateAnswerMs,
-        );
-      }),
+      fc.property(
+        ms(500),
+        ms(500),
+        ms(1_500),
+        ms(1_500),
+        (drain, configure, contact, keyAge) => {
+          const bounds = {
+            drainMs: drain,
+            configurationMs: configure,
+            contactMs: contact,
+            keyAgeMs: keyAge,
+          };
+          const times = watchTimes(bounds);
+          expect(noticeMs(times)).to.be.at.most(Math.min(drain, configure));
+          expect(recoveryMs(times)).to.be.at.most(contact);
+          expect(confirmedAgeMs(times)).to.be.at.most(keyAge);
+          expect(times.checkIntervalMs).to.be.at.most(
+            times.leadingWaitMs + times.lateAnswerMs,
+          );
+        },
+      ),
       {seed: 38},
     );
   });
--- a/test/storeprogress.test.ts
+++ b/test/storeprogress.test.ts
@@ -18,6 +18,7 @@
   drainMs: 2_000,
   configurationMs: 2_000,
   contactMs: 3_000,
+  keyAgeMs: Infinity,
 });
 const LATENCY_MS = 4;
 /** A machine that is in touch with the store learns of a change within this. */
--- a/test/tablewatch.test.ts
+++ b/test/tablewatch.test.ts
@@ -163,6 +163,7 @@
           drainMs: 2_000,
           configurationMs: 2_000,
           contactMs: 3_000,
+          keyAgeMs: Infinity,
         }),
       },
     );
