--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,4 +1,7 @@
-/** Builds the binary and runs every test; extra arguments go to mocha. */
+/**
+ * Builds the binary and the platform's bundle, and runs every test; extra
+ * arguments go to mocha.
+ */
 import {spawnSync} from 'node:child_process';
 
 function run(command, args) {
@@ -7,4 +10,5 @@
 }
 
 run(process.execPath, ['scripts/build.mjs']);
+run(process.execPath, ['scripts/bundle.mjs']);
 run('npx', ['--no-install', 'mocha', ...process.argv.slice(2)]);
