Request limit: state its inputs in subscriptions, so that every rank has a limit

Nearly every stream was late by one long pass under heavy load. The limit on the requests at a rank needs the engine's figures and the shortest target gap of the configuration, which a sidecar follows only while it coordinates, so one rank of a group was limited and the others filled all slots. All ranks run the same passes, so that limit shortened none.

A subscribe datagram now states the version of the configuration, steps per pass, step time, time per request, slots and the shortest targetGapMs of the service's routes. A sidecar uses the higher version of these and of its own configuration; it keeps the last ones if a subscription states none. Each change of the limit is logged.

Not measured on a deployment.

--- a/src/gateway/datagrams.ts
+++ b/src/gateway/datagrams.ts
@@ -8,10 +8,23 @@
 import * as z from 'zod';
 import {Log} from '../observe/log';
 
+/** What the limit on the requests at a rank is derived from. */
+const targetSchema = z.object({
+  version: z.number().int().min(0),
+  engine: z.object({
+    slots: z.number().int().min(1),
+    stepsPerPass: z.number().positive(),
+    stepMs: z.number().positive(),
+    perRequestMs: z.number().min(0),
+  }),
+  targetGapMs: z.number().positive().optional(),
+});
+
 const messageSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('subscribe'),
     slots: z.number().int().min(1).optional(),
+    target: targetSchema.optional(),
   }),
   z.object({
     kind: z.literal('load'),
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -2,7 +2,8 @@
  * Load reports from sidecars to gateways, over UDP.
  *
  * Every two seconds a gateway subscribes to the sidecar of each endpoint and
- * states the endpoint's slots, which a sidecar does not follow by itself. A
+ * states the endpoint's slots and the declared time of its passes, which a sidecar
+ * does not follow by itself. A
  * sidecar sends its endpoint's load to the current subscribers, each with a share
  * of the free slots and the number of subscribers, by which they divide other
  * limits. Lost datagrams are not
@@ -15,6 +16,7 @@
 import {Log} from '../observe/log';
 import {DatagramSocket, Peer} from './datagrams';
 import {Heartbeat} from '../ranks/rank';
+import {HeardTarget, hearTarget, PassTarget} from '../ranks/passtarget';
 import {divideSlots} from './slotshares';
 
 export interface LoadReport {
@@ -55,6 +57,8 @@
 export interface EndpointHost {
   readonly host: string;
   readonly slots: number;
+  /** Undefined if the configuration is not known. */
+  readonly target?: PassTarget | undefined;
 }
 
 /** The gateway's side: subscribes to all sidecars and passes on reports. */
@@ -114,11 +118,11 @@
     const {port} = this.deps.self;
     const nowMs = this.deps.clock.elapsedMs();
     const endpoints = this.deps.endpoints();
-    for (const {host, slots} of endpoints) {
+    for (const {host, slots, target} of endpoints) {
       const sentMs = this.subscribedMs.get(host) ?? -Infinity;
       if (nowMs - sentMs < SUBSCRIBE_INTERVAL_MS) continue;
       this.subscribedMs.set(host, nowMs);
-      this.datagrams.send({kind: 'subscribe', slots}, {host, port});
+      this.datagrams.send({kind: 'subscribe', slots, target}, {host, port});
     }
     const hosts = new Set(endpoints.map(e => e.host));
     for (const host of this.subscribedMs.keys()) {
@@ -139,6 +143,7 @@
   private limitPerS: number | undefined;
   /** Slots of the endpoint; undefined before the first subscription. */
   private slots: number | undefined;
+  private heard: HeardTarget | undefined;
   /** Index of the subscriber whose turn for a free slot is next. */
   private turn = 0;
 
@@ -154,10 +159,16 @@
       if (body.kind !== 'subscribe') return;
       this.slots = body.slots ?? this.slots;
       const subscribedMs = this.clock.elapsedMs();
+      this.heard = hearTarget(this.heard, body.target, subscribedMs);
       this.subscribers.set(from.host, {...from, subscribedMs});
     }, log);
   }
 
+  /** What subscribers stated about the passes of the endpoint's service. */
+  get heardTarget(): HeardTarget | undefined {
+    return this.heard;
+  }
+
   start(): Promise<void> {
     return this.datagrams.listen(this.self);
   }
--- a/src/ranks/passobserver.ts
+++ b/src/ranks/passobserver.ts
@@ -1,27 +1,21 @@
 /**
  * Follows the passes of a sidecar's group and the limit that results for its rank.
  */
-import {EngineSpec} from '../gateway/model';
 import {Clock} from '../kernel/clock';
 import {Log} from '../observe/log';
+import {PassTarget} from './passtarget';
 import {measurePasses, PassMeter} from './passtime';
 import {RankReport} from './rank';
 import {recordStretch, requestLimit, StretchHistory} from './requestlimit';
 
-/** What the configuration says about the service of the rank. */
-export interface PassTarget {
-  readonly engine: EngineSpec;
-  /** Longest pause between two events that is on time, in milliseconds. */
-  readonly gapMs: number;
-}
-
 export class PassObserver {
   private meter: PassMeter | undefined;
   private stretches: StretchHistory = [];
   private meanMs = 0;
+  private loggedLimit: number | undefined;
 
   constructor(
-    /** Undefined if the configuration is not known or names no longest pause. */
+    /** Undefined while neither the configuration nor an entry gave one. */
     private readonly target: () => PassTarget | undefined,
     private readonly clock: Clock,
     private readonly log: Log,
@@ -35,12 +29,27 @@
   /** Requests that may be at the rank; undefined if it has no limit. */
   get limit(): number | undefined {
     const target = this.target();
-    if (!target) return undefined;
-    const {engine, gapMs} = target;
-    return requestLimit(this.stretches, engine, gapMs, this.clock.elapsedMs());
+    if (target?.targetGapMs === undefined) return undefined;
+    const {engine, targetGapMs} = target;
+    const nowMs = this.clock.elapsedMs();
+    return requestLimit(this.stretches, engine, targetGapMs, nowMs);
   }
 
   handleReport(report: RankReport): void {
+    this.measure(report);
+    const {limit} = this;
+    if (limit === this.loggedLimit) return;
+    this.log('info', 'request limit', {
+      group: report.group,
+      limit: limit ?? null,
+      before: this.loggedLimit ?? null,
+      targetGapMs: this.target()?.targetGapMs ?? null,
+      meanMs: Math.round(this.meanMs),
+    });
+    this.loggedLimit = limit;
+  }
+
+  private measure(report: RankReport): void {
     const nowMs = this.clock.elapsedMs();
     const {meter, measured} = measurePasses(this.meter, report, nowMs);
     this.meter = meter;
--- a/src/ranks/requestlimit.ts
+++ b/src/ranks/requestlimit.ts
@@ -18,7 +18,7 @@
  * Each sidecar derives the limit of its own rank. All ranks of a group run the
  * same passes, so they come to about the same limit without messages.
  */
-import {EngineSpec} from '../gateway/model';
+import {PassFigures} from './passtarget';
 import {PassMeasurement} from './passtime';
 
 interface StretchSample {
@@ -40,7 +40,7 @@
 
 export function recordStretch(
   history: StretchHistory,
-  engine: EngineSpec,
+  engine: PassFigures,
   {meanMs, running}: PassMeasurement,
   nowMs: number,
 ): StretchHistory {
@@ -52,7 +52,7 @@
 /** Number of requests that may be at the rank. */
 export function requestLimit(
   history: StretchHistory,
-  engine: EngineSpec,
+  engine: PassFigures,
   targetGapMs: number,
   nowMs: number,
 ): number {
@@ -71,7 +71,7 @@
 
 /** Time of a pass in which each rank runs so many requests, on even load. */
 function passMs(
-  {stepsPerPass, stepMs, perRequestMs}: EngineSpec,
+  {stepsPerPass, stepMs, perRequestMs}: PassFigures,
   running: number,
 ): number {
   return stepsPerPass * (stepMs + perRequestMs * running);
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -10,7 +10,6 @@
 import {createStoreClient} from '../platform/store';
 import {crashTable, endpointTable, operatorTable} from '../platform/tables';
 import {
-  Catalog,
   emptyCatalog,
   applyEndpointChange,
   applyOperatorChange,
@@ -36,7 +35,8 @@
 import {Program} from './kernel/program';
 import {MAP_PATH, RankAgent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
-import {PassObserver, PassTarget} from './ranks/passobserver';
+import {PassObserver} from './ranks/passobserver';
+import {currentTarget, passTarget} from './ranks/passtarget';
 import {createRankClient, PASSED_MAP_TIMEOUT_MS} from './ranks/rankclient';
 import {RoundTrips} from './ranks/roundtrip';
 
@@ -323,28 +323,19 @@
 function modelEndpoints(
   dispatcher: RequestDispatcher,
 ): readonly EndpointHost[] {
-  const {endpoints, services} = dispatcher.currentCatalog();
+  const catalog = dispatcher.currentCatalog();
+  const targets = new Map(
+    [...catalog.services.keys()].map(name => [name, passTarget(catalog, name)]),
+  );
   const hosts = new Map<string, EndpointHost>();
-  for (const {address, service, slots} of endpoints.values()) {
-    if (services.get(service)?.engine === undefined) continue;
-    hosts.set(hostOf(address), {host: hostOf(address), slots});
+  for (const {address, service, slots} of catalog.endpoints.values()) {
+    if (catalog.services.get(service)?.engine === undefined) continue;
+    const host = hostOf(address);
+    hosts.set(host, {host, slots, target: targets.get(service)});
   }
   return [...hosts.values()];
 }
 
-/** The engine of a service, and the shortest pause that its routes promise. */
-function passTarget(
-  {configuration, services}: Catalog,
-  service: string,
-): PassTarget | undefined {
-  const engine = services.get(service)?.engine;
-  const gaps = (configuration?.routes ?? [])
-    .filter(({split}) => split.some(s => s.service === service))
-    .flatMap(route => route.targetGapMs ?? []);
-  if (!engine || gaps.length === 0) return undefined;
-  return {engine, gapMs: Math.min(...gaps)};
-}
-
 /** The program beside a model endpoint. */
 export function wirePlatformSidecar(
   deployment: Deployment,
@@ -467,7 +458,8 @@
   );
   const metrics = createMetricsServer(registry);
   const passes = new PassObserver(
-    () => passTarget(catalog, service ?? ''),
+    () =>
+      currentTarget(passTarget(catalog, service ?? ''), publisher.heardTarget),
     clock,
     log,
   );
