Request limit: fall continuously to a floor instead of going off

Stretches with which half of the slots would not fit were left out, so the limit went off when passes were longest: under heavy load the stretch is 1.8 to 3.4 and rises by up to 1 after each shift of demand.

Stretches now count until a pass of one request would last two allowed pauses. The rule before is kept as halfSlotsRange.

Not measured on a deployment.

--- a/src/ranks/requestlimit.ts
+++ b/src/ranks/requestlimit.ts
@@ -11,9 +11,13 @@
  * largest stretch of the recent past: a stream is late after a single long
  * pause, and demand may shift at any time while it runs. The stretch does not
  * depend on the number of requests, so a limit does not hide that it could be
- * raised, and it rises when the large stretch is long enough ago. Passes that
- * would be too long even with the least limit do not count: their group is
- * stalled, held or far too uneven, and refusals would not bring others into time.
+ * raised, and it rises when the large stretch is long enough ago.
+ *
+ * The limit falls with the stretch down to a floor. Under heavy load the stretch
+ * is 1.8 to 3.4, and larger by up to 1 after each shift of demand; a limit that
+ * went off above some stretch would go off when it is needed most. Only passes
+ * far longer than load explains do not count, because their group is stalled or
+ * held, and refusals would not bring others into time.
  *
  * Each sidecar derives the limit of its own rank. All ranks of a group run the
  * same passes, so they come to about the same limit without messages.
@@ -32,11 +36,55 @@
 /** Time for which a stretch counts, in milliseconds. */
 const STRETCH_MEMORY_MS = 6_000;
 
+/** What bounds the limit of an engine. */
+export interface LimitRange {
+  /** Smallest limit. */
+  readonly least: number;
+  /** Stretch above which a group counts as stalled. */
+  readonly maxStretch: number;
+}
+
+/** Chooses the range for a longest pause, in milliseconds. */
+export type LimitRangeRule = (
+  engine: PassFigures,
+  targetGapMs: number,
+) => LimitRange;
+
 /**
- * Smallest share of the slots that is used. With fewer requests, more would be
- * refused than the limit brings into time.
+ * Worth of a stream with one pause over the allowed one, as a share of one that
+ * is on time. It is 0.28 to 0.5; the largest value refuses the fewest requests.
  */
-const MIN_SLOT_SHARE = 0.5;
+const LATE_WORTH = 0.5;
+
+/** Pauses that a pass of a single request lasts in a stalled group. */
+const STALLED_PAUSES = 2;
+
+/**
+ * The floor weighs what callers lose either way, if no refused caller returns.
+ * With n requests a rank makes a share r of the events that full slots make. If
+ * the passes come into time, r streams are worth 1 each, where full slots earn
+ * `LATE_WORTH`; if they stay too long, (1 - r) late streams are lost for nothing.
+ * The floor is the smallest n whose gain r - LATE_WORTH in the first case is no
+ * less than its loss LATE_WORTH * (1 - r) in the second.
+ */
+export const worthRange: LimitRangeRule = (engine, targetGapMs) => {
+  const {slots} = engine;
+  const minEvents =
+    (eventsPerMs(engine, slots) * 2 * LATE_WORTH) / (1 + LATE_WORTH);
+  let least = 1;
+  while (least < slots && eventsPerMs(engine, least) < minEvents) least += 1;
+  const stalledMs = STALLED_PAUSES * targetGapMs;
+  return {least, maxStretch: stalledMs / passMs(engine, 1)};
+};
+
+/**
+ * The rule before `worthRange`, kept for comparison: at least half of the slots,
+ * and no limit by stretches with which that many do not fit.
+ */
+export const halfSlotsRange: LimitRangeRule = (engine, targetGapMs) => {
+  const least = Math.ceil(engine.slots / 2);
+  return {least, maxStretch: targetGapMs / passMs(engine, least)};
+};
 
 export function recordStretch(
   history: StretchHistory,
@@ -55,10 +103,10 @@
   engine: PassFigures,
   targetGapMs: number,
   nowMs: number,
+  rangeOf: LimitRangeRule = worthRange,
 ): number {
   const {slots, stepsPerPass, stepMs, perRequestMs} = engine;
-  const least = Math.ceil(slots * MIN_SLOT_SHARE);
-  const maxStretch = targetGapMs / passMs(engine, least);
+  const {least, maxStretch} = rangeOf(engine, targetGapMs);
   const stretches = history
     .filter(s => nowMs - s.atMs <= STRETCH_MEMORY_MS && s.stretch <= maxStretch)
     .map(s => s.stretch);
@@ -69,6 +117,11 @@
   return Math.min(slots, Math.max(least, fitting));
 }
 
+/** Events per millisecond of a rank that runs so many requests. */
+function eventsPerMs(engine: PassFigures, running: number): number {
+  return running / passMs(engine, running);
+}
+
 /** Time of a pass in which each rank runs so many requests, on even load. */
 function passMs(
   {stepsPerPass, stepMs, perRequestMs}: PassFigures,
--- a/test/longpasses.test.ts
+++ b/test/longpasses.test.ts
@@ -7,7 +7,15 @@
  */
 import {expect} from 'chai';
 import {measurePasses, PassMeter} from '../src/ranks/passtime';
-import {recordStretch, requestLimit} from '../src/ranks/requestlimit';
+import * as fc from 'fast-check';
+import {
+  halfSlotsRange,
+  LimitRangeRule,
+  recordStretch,
+  requestLimit,
+  worthRange,
+} from '../src/ranks/requestlimit';
+import {ROUTE} from './deploymentmodel';
 import {CallerResult, ENGINE, PassModel} from './passmodel';
 
 const SEEDS = [1, 2, 3];
@@ -41,8 +49,11 @@
   return results.filter(r => r.outcome === outcome).length / results.length;
 }
 
-function worth(results: readonly CallerResult[]): number {
-  return shareOf(results, 'on time') + LATE_WORTH * shareOf(results, 'late');
+function worth(
+  results: readonly CallerResult[],
+  lateWorth = LATE_WORTH,
+): number {
+  return shareOf(results, 'on time') + lateWorth * shareOf(results, 'late');
 }
 
 async function run(
@@ -81,6 +92,44 @@
   }).timeout(60_000);
 });
 
+/** Demand shifts at these intervals, and passes are longer for a time after. */
+const SHIFT_MS = 4_000;
+const SHIFTED_MS = 1_500;
+
+/** Runs a group under heavy load whose experts are in very uneven demand. */
+async function runShifting(
+  seed: number,
+  limitRange: LimitRangeRule,
+): Promise<readonly CallerResult[]> {
+  const model = new PassModel({
+    seed,
+    ...{gateways: 12, groups: 1, ranks: 24, limitsRequests: true},
+    limitRange,
+    routes: [{...ROUTE, targetGapMs: 150, targetLatencyMs: 500}],
+    skew: nowMs => (nowMs % SHIFT_MS < SHIFTED_MS ? 2.9 : 2.2),
+    requestsPerS: () => 70,
+  });
+  await model.runUntil(END_MS + ANSWER_MS);
+  return model.sentBetween(SHIFT_MS, END_MS);
+}
+
+describe('a group under heavy load whose demand shifts', () => {
+  // Passes with which half of the slots did not fit ended the limit, so that all
+  // streams were late while it was needed most.
+  it('earns more than with a limit that ends, whatever a late stream earns', async () => {
+    const old: CallerResult[] = [];
+    const now: CallerResult[] = [];
+    for (const seed of SEEDS) {
+      old.push(...(await runShifting(seed, halfSlotsRange)));
+      now.push(...(await runShifting(seed, worthRange)));
+    }
+    for (const lateWorth of [0.28, 0.5]) {
+      expect(worth(now, lateWorth)).to.be.above(worth(old, lateWorth));
+    }
+    expect(shareOf(now, 'on time')).to.be.above(2 * shareOf(old, 'on time'));
+  }).timeout(120_000);
+});
+
 describe('the limit on the requests at a rank', () => {
   const {slots, stepsPerPass, stepMs, perRequestMs} = ENGINE;
   const evenPassMs = (n: number) => stepsPerPass * (stepMs + perRequestMs * n);
@@ -120,6 +169,24 @@
     expect(limitAfter([stretch, stretch], 1_000)).to.equal(least);
   });
 
+  it('falls steadily to its floor as passes get longer', () => {
+    const {least, maxStretch} = worthRange(ENGINE, GAP_MS);
+    expect(least).to.equal(4);
+    const stretch = fc.double({min: 1, max: maxStretch, noNaN: true});
+    fc.assert(
+      fc.property(stretch, stretch, (a, b) => {
+        const [short, long] = [Math.min(a, b), Math.max(a, b)];
+        const limit = limitAfter([long, short], 1_000);
+        expect(limit).to.be.within(least, limitAfter([short], 1_000));
+        // Smaller steps of the stretch have smaller effects.
+        if (long - short < 0.05) {
+          expect(limitAfter([short], 1_000) - limit).to.be.at.most(1);
+        }
+      }),
+      {seed: 11},
+    );
+  });
+
   it('does not fall after a stall, which fewer requests would not end', () => {
     expect(limitAfter([1.2, 20, 1.2], 1_500)).to.equal(slots);
   });
--- a/test/passmodel.ts
+++ b/test/passmodel.ts
@@ -10,11 +10,12 @@
 import {VirtualClock} from '../bench/support/virtualclock';
 import {RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
-import {Endpoint, EngineSpec} from '../src/gateway/model';
+import {Endpoint, EngineSpec, Route} from '../src/gateway/model';
 import {divideSlots} from '../src/gateway/slotshares';
 import {recordEvents, StreamTiming} from '../src/gateway/streamtiming';
 import {measurePasses, PassMeter} from '../src/ranks/passtime';
 import {
+  LimitRangeRule,
   recordStretch,
   requestLimit,
   StretchHistory,
@@ -71,11 +72,16 @@
   readonly skew: (nowMs: number) => number;
   /** Whether sidecars limit requests by the time of the passes. */
   readonly limitsRequests: boolean;
+  /** How the limit is bounded; as in the product if absent. */
+  readonly limitRange?: LimitRangeRule;
+  /** Routes of the requests, each as often; one if absent. */
+  readonly routes?: readonly Route[];
 }
 
 /** A caller's request with all its attempts. */
 export interface CallerResult {
   readonly sentMs: number;
+  readonly route: Route;
   outcome: 'on time' | 'late' | 'refused' | 'left' | 'running';
 }
 
@@ -252,7 +258,13 @@
       rank.history = recordStretch(rank.history, ENGINE, measured, nowMs);
     }
     const limit = limitsRequests
-      ? requestLimit(rank.history, ENGINE, ROUTE.targetGapMs!, nowMs)
+      ? requestLimit(
+          rank.history,
+          ENGINE,
+          this.routes[0]!.targetGapMs!,
+          nowMs,
+          this.settings.limitRange,
+        )
       : ENGINE.slots;
     const {shares, nextTurn} = divideSlots(
       limit - running - queued,
@@ -278,13 +290,18 @@
     this.clock.after(REPORT_INTERVAL_MS, () => this.report(rank, group));
   }
 
+  private get routes(): readonly Route[] {
+    return this.settings.routes ?? [ROUTE];
+  }
+
   private scheduleRequest(): void {
     const perS = this.settings.requestsPerS(this.clock.elapsedMs());
     // Rounding each interval up to a millisecond would lower the rate.
     this.dueMs += (-Math.log(1 - this.random()) * MS_PER_S) / perS;
     this.clock.after(this.dueMs - this.clock.elapsedMs(), () => {
       const sentMs = this.clock.elapsedMs();
-      const result: CallerResult = {sentMs, outcome: 'running'};
+      const route = this.routes[this.results.length % this.routes.length]!;
+      const result: CallerResult = {sentMs, route, outcome: 'running'};
       this.results.push(result);
       const size = {
         promptTokens: this.size(MEAN_PROMPT_TOKENS, MAX_PROMPT_TOKENS),
@@ -311,6 +328,7 @@
     const index = Math.floor(this.random() * this.gateways.length);
     const dispatcher = this.gateways[index]!;
     const arrivedMs = this.clock.elapsedMs();
+    const {route} = result;
     let endpointId: string | undefined;
     let timing: StreamTiming | undefined;
     const end = (outcome: CallerResult['outcome']) => {
@@ -341,8 +359,8 @@
           if (!isLast) return;
           release('works');
           const isOnTime =
-            timing.firstEventMs <= ROUTE.targetLatencyMs &&
-            timing.longestGapMs <= ROUTE.targetGapMs!;
+            timing.firstEventMs <= route.targetLatencyMs &&
+            timing.longestGapMs <= route.targetGapMs!;
           end(isOnTime ? 'on time' : 'late');
         });
       },
@@ -350,12 +368,12 @@
     const exchange = {
       incoming: {
         service: 's',
-        route: ROUTE,
+        route,
         account: undefined,
         arrivedMs,
         metadata: {requestId: '', sharedParts: []},
       },
-      deadlineMs: result.sentMs + ROUTE.timeoutMs,
+      deadlineMs: result.sentMs + route.timeoutMs,
       triedEndpoints: new Set<string>(),
       hasEnded: false,
       hasAnswerBegun: false,
