--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -139,6 +139,8 @@
 export interface TableRow {
   readonly key: string;
   readonly value: unknown;
+  /** Version of the store at which the row was written, if the store names it. */
+  readonly version?: number;
 }
 
 /** The rows of a table: all of them, or those changed since the last read. */
