--- a/src/gateway/datagrams.ts
+++ b/src/gateway/datagrams.ts
@@ -33,6 +33,16 @@
     group: z.string(),
     rank: z.number().int().min(0),
   }),
+  z.object({
+    kind: z.literal('dutyPing'),
+    duty: z.string(),
+    term: z.number().int().min(0),
+  }),
+  z.object({
+    kind: z.literal('dutyAlive'),
+    duty: z.string(),
+    term: z.number().int().min(0),
+  }),
 ]);
 
 type Message = z.infer<typeof messageSchema>;
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -9,9 +9,11 @@
  * resent; the next one replaces them. A sidecar that finds no process at its
  * endpoint's address tells the subscribers so a few times. Only gateways see the
  * limit that an endpoint names in its answers; they send it to its sidecar, which
- * reports it with the load. The heartbeats of coordinators use the same sockets.
+ * reports it with the load. The heartbeats of coordinators and the datagrams
+ * about duties use the same sockets.
  */
 import {Clock, repeatEvery, Timer} from '../kernel/clock';
+import {DutyMessage} from '../duties/leasetask';
 import {Log} from '../observe/log';
 import {DatagramSocket, Peer} from './datagrams';
 import {Heartbeat} from '../ranks/rank';
@@ -147,9 +149,12 @@
     private readonly clock: Clock,
     log: Log,
     handleHeartbeat: (heartbeat: Heartbeat) => void = () => undefined,
+    handleDuty: (message: DutyMessage, from: Peer) => void = () => undefined,
   ) {
     this.datagrams = new DatagramSocket((body, from) => {
       if (body.kind === 'heartbeat') handleHeartbeat(body);
+      if (body.kind === 'dutyPing' || body.kind === 'dutyAlive')
+        handleDuty(body, from);
       if (body.kind === 'limit') this.limitPerS = body.limitPerS;
       if (body.kind !== 'subscribe') return;
       this.slots = body.slots ?? this.slots;
@@ -202,6 +207,11 @@
     }
   }
 
+  /** Sends a datagram about the duties that one instance performs. */
+  sendDuty(message: DutyMessage, peer: Peer): void {
+    this.datagrams.send(message, peer);
+  }
+
   /** Tells the subscribers that no process listens at the address. */
   publishProcessGone(address: string): void {
     this.limitPerS = undefined;
