Usage counts of gateways, and the reports of the holder

The platform bills by reports of 5 s windows, which one instance sends and which must never differ for one window. Entries count requests by window of true time and send cumulative counts to the holder each second; the holder fixes the counts of a window at one time that is the same for every holder, and repeats its report exactly.

--- a/src/gateway/datagrams.ts
+++ b/src/gateway/datagrams.ts
@@ -6,8 +6,18 @@
  */
 import dgram from 'node:dgram';
 import * as z from 'zod';
+import {MAX_NAME_LENGTH} from '../duties/usagemessage';
 import {Log} from '../observe/log';
 
+/** Bounds on the lists of a message; a sender stays far below them. */
+const MAX_DUTIES = 8;
+const MAX_ITEMS = 16_384;
+const MAX_WINDOWS = 256;
+
+const count = z.number().int().min(0);
+const name = z.string().max(MAX_NAME_LENGTH);
+const duty = z.enum(['usage', 'scaling']);
+
 const messageSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('subscribe'),
@@ -25,6 +35,54 @@
     limitPerS: z.number().min(0).optional(),
     share: z.number().int().min(0).optional(),
     requestLimit: z.number().int().min(1).optional(),
+    // The duties that the sender holds. If they are not valid, the load is used.
+    duties: z
+      .array(
+        z.object({
+          duty,
+          token: count,
+          offsetMs: z.number().optional(),
+          begunWindow: z.number().int().optional(),
+        }),
+      )
+      .max(MAX_DUTIES)
+      .readonly()
+      .optional()
+      .catch(undefined),
+  }),
+  z.object({
+    kind: z.literal('usage'),
+    entry: name,
+    processStartMs: z.number(),
+    zone: name,
+    clockOffsetMs: z.number().optional(),
+    begunWindow: z.number().int().optional(),
+    firstWindow: z.number().int().optional(),
+    accounts: z.array(name).max(MAX_ITEMS).readonly(),
+    counts: z
+      .array(z.tuple([count.max(MAX_WINDOWS), count, count]).readonly())
+      .max(MAX_ITEMS)
+      .readonly(),
+    demand: z
+      .array(
+        z.object({service: name, begun: count, refused: count, waiting: count}),
+      )
+      .max(MAX_ITEMS)
+      .readonly(),
+    loads: z
+      .array(
+        z.object({
+          service: name,
+          zone: name,
+          endpoints: count,
+          reporting: count,
+          running: z.number().min(0),
+          queued: z.number().min(0),
+          capacity: count,
+        }),
+      )
+      .max(MAX_ITEMS)
+      .readonly(),
   }),
   z.object({kind: z.literal('limit'), limitPerS: z.number().min(0)}),
   z.object({kind: z.literal('gone'), address: z.string()}),
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -10,7 +10,11 @@
  * endpoint's address tells the subscribers so a few times. Only gateways see the
  * limit that an endpoint names in its answers; they send it to its sidecar, which
  * reports it with the load. The heartbeats of coordinators use the same sockets.
+ * A sidecar that holds duties says so in its load reports, and gateways send it
+ * what it needs for them.
  */
+import {HeldDuty} from '../duties/dutyholders';
+import {UsageMessage} from '../duties/usagemessage';
 import {Clock, repeatEvery, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {DatagramSocket, Peer} from './datagrams';
@@ -33,6 +37,8 @@
   readonly share?: number;
   /** Requests that should be at the endpoint at most; undefined if unknown. */
   readonly requestLimit?: number;
+  /** Duties that the sender holds; undefined if none. */
+  readonly duties?: readonly HeldDuty[];
 }
 
 /** Interval between subscriptions to a sidecar, in milliseconds. */
@@ -77,12 +83,20 @@
       readonly handleReport: (report: LoadReport) => void;
       /** No process listens at this endpoint's address. */
       readonly handleProcessGone: (address: string) => void;
+      /** The sidecar on the host holds these duties. */
+      readonly handleDuties?: (
+        host: string,
+        duties: readonly HeldDuty[],
+      ) => void;
       readonly clock: Clock;
       readonly log: Log;
     },
   ) {
-    this.datagrams = new DatagramSocket(body => {
-      if (body.kind === 'load') this.deps.handleReport(body);
+    this.datagrams = new DatagramSocket((body, {host}) => {
+      if (body.kind === 'load') {
+        this.deps.handleReport(body);
+        if (body.duties) this.deps.handleDuties?.(host, body.duties);
+      }
       if (body.kind === 'gone') this.deps.handleProcessGone(body.address);
     }, deps.log);
   }
@@ -110,6 +124,12 @@
     this.datagrams.send({kind: 'limit', limitPerS}, {host, port});
   }
 
+  /** Sends a sidecar that holds a duty what it needs for that. */
+  sendUsage(host: string, usage: UsageMessage): void {
+    const {port} = this.deps.self;
+    this.datagrams.send({kind: 'usage', ...usage}, {host, port});
+  }
+
   private subscribe(): void {
     const {port} = this.deps.self;
     const nowMs = this.deps.clock.elapsedMs();
@@ -147,8 +167,10 @@
     private readonly clock: Clock,
     log: Log,
     handleHeartbeat: (heartbeat: Heartbeat) => void = () => undefined,
+    handleUsage: (usage: UsageMessage) => void = () => undefined,
   ) {
     this.datagrams = new DatagramSocket((body, from) => {
+      if (body.kind === 'usage') handleUsage(body);
       if (body.kind === 'heartbeat') handleHeartbeat(body);
       if (body.kind === 'limit') this.limitPerS = body.limitPerS;
       if (body.kind !== 'subscribe') return;
@@ -171,7 +193,11 @@
     const nowMs = this.clock.elapsedMs();
     const {running, queued, open, pace, requestLimit = Infinity} = report;
     const {limitPerS} = this;
-    const load = `${running} ${queued} ${open} ${pace} ${limitPerS} ${requestLimit}`;
+    // A change of true time alone need not be sent at once.
+    const held = (report.duties ?? [])
+      .map(({duty, token, begunWindow}) => `${duty}:${token}:${begunWindow}`)
+      .join();
+    const load = `${running} ${queued} ${open} ${pace} ${limitPerS} ${requestLimit} ${held}`;
     const due = nowMs - this.lastSent.atMs >= REPEAT_INTERVAL_MS;
     if (load === this.lastSent.load && !due) return;
     this.lastSent = {load, atMs: nowMs};
