Entry: report which requests endpoints ran, and sum loads by zone

Usage is billed by the window in which an endpoint began to work. An exchange now reports a run once: at a stream's first event, corrected by one pass, at the head of another answer with the time at which it was sent, and at the end of an attempt that failed or was lost and may have run. Refused and unsent attempts do not count. The dispatcher also counts what it refused for lack of room and sums the fresh load reports by service and zone, for scaling.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -2,6 +2,8 @@
  * Assigns requests to endpoints. It holds the catalog, the loads, the queues
  * and the retry budgets; each decision is made by a module of pure functions.
  */
+import {mayHaveBegun, runBeganMs} from '../duties/usagecounts';
+import {ServiceDemand, ZoneLoad} from '../duties/usagemessage';
 import {Clock, Instant, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {
@@ -31,6 +33,7 @@
   EndpointEvidence,
   Exchange,
   ExchangeResult,
+  RunEvidence,
 } from './exchange';
 import {
   applyReport,
@@ -51,6 +54,7 @@
   updateAnswerTime,
   waitLimit,
 } from './waitlimit';
+import {zoneLoads} from './zoneloads';
 import {emptyLastSends, isWithinRate} from './sharedrate';
 import {
   applyRegistration,
@@ -166,6 +170,8 @@
   private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
   /** Requests that have not ended. */
   private readonly active = new Set<Exchange>();
+  /** Requests that began to run and that found no room, by service. */
+  private readonly served = new Map<string, {begun: number; refused: number}>();
   private serveScheduled = false;
   private pollScheduled = false;
   private silenceCheckScheduled = false;
@@ -187,6 +193,11 @@
       endpoint: Registration,
       limitPerS: number,
     ) => void,
+    /** Called when an endpoint began a request, with that monotonic time. */
+    private readonly onRun: (
+      exchange: Exchange,
+      beganMs: number,
+    ) => void = () => undefined,
   ) {}
 
   currentCatalog(): Catalog {
@@ -454,6 +465,44 @@
     this.crashes.recordDisconnect(endpoint, promptOf(exchange));
   }
 
+  reportRun(
+    exchange: Exchange,
+    {sentMs, seenMs, isAnswered, requestsThere}: RunEvidence,
+  ): boolean {
+    const {service, route} = exchange.incoming;
+    const engine = this.catalog.services.get(service)?.engine;
+    const stepMs = engine
+      ? engine.stepMs + engine.perRequestMs * requestsThere
+      : 0;
+    const passMs = (engine?.stepsPerPass ?? 0) * stepMs;
+    const isStream = route.kind === 'stream';
+    const run = {isStream, sentMs, seenMs, passMs};
+    if (!isAnswered && !mayHaveBegun(run)) return false;
+    this.servedOf(service).begun += 1;
+    this.onRun(exchange, runBeganMs(run));
+    return true;
+  }
+
+  private servedOf(service: string): {begun: number; refused: number} {
+    const served = this.served.get(service) ?? {begun: 0, refused: 0};
+    this.served.set(service, served);
+    return served;
+  }
+
+  /** Requests of each service at this gateway since its start. */
+  demand(): readonly ServiceDemand[] {
+    return [...this.catalog.services.keys()].map(service => {
+      const {begun, refused} = this.servedOf(service);
+      const waiting = this.queueOf(service).waiting.length;
+      return {service, begun, refused, waiting};
+    });
+  }
+
+  /** Loads of the endpoints of each service and zone. */
+  zoneLoads(): readonly ZoneLoad[] {
+    return zoneLoads(this.catalog, this.loads, this.clock.elapsedMs());
+  }
+
   reportProgress(exchange: Exchange): void {
     this.crashes.recordProgress(promptOf(exchange));
   }
@@ -645,6 +694,7 @@
     );
     this.queues.set(service, queue);
     for (const {request} of expired) {
+      this.servedOf(service).refused += 1;
       request.refuse('overload', this.addJitter(OVERLOAD_RETRY_AFTER_MS));
     }
     for (const {request} of queue.waiting) {
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -32,6 +32,9 @@
   readonly allowance: number;
   /** Requests that should be there at most, as of the last report. */
   readonly requestLimit: number;
+  /** Requests of all gateways that ran and that waited at the last report. */
+  readonly running: number;
+  readonly queued: number;
 }
 
 export type Loads = Map<string, Load>;
@@ -54,6 +57,8 @@
   reportedMs: -Infinity,
   allowance: 0,
   requestLimit: Infinity,
+  running: 0,
+  queued: 0,
 };
 
 export const emptyLoads: Loads = Map();
@@ -94,7 +99,8 @@
 ): Loads {
   const {own} = loads.get(report.id, UNKNOWN_LOAD);
   const others = Math.max(0, report.running + report.queued - own);
-  const {group, open, pace, requestLimit = Infinity} = report;
+  const {group, open, pace, running, queued} = report;
+  const {requestLimit = Infinity} = report;
   return loads.set(report.id, {
     own,
     others,
@@ -104,9 +110,29 @@
     reportedMs: nowMs,
     allowance: report.share ?? Infinity,
     requestLimit,
+    running,
+    queued,
   });
 }
 
+/** What an endpoint reported that works. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly queued: number;
+}
+
+/** The last report, unless it is older or its group was broken. */
+export function reportedLoad(
+  loads: Loads,
+  id: string,
+  nowMs: number,
+  maxAgeMs: number,
+): ReportedLoad | undefined {
+  const load = loads.get(id, UNKNOWN_LOAD);
+  if (!load.open || nowMs - load.reportedMs > maxAgeMs) return undefined;
+  return load;
+}
+
 /** Whether this gateway may send one more request to the endpoint. */
 export function hasAllowance(loads: Loads, id: string, nowMs: number): boolean {
   if (!hasFreshReport(loads, id, nowMs)) return true;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -35,6 +35,11 @@
     endpoint: string,
     evidence: EndpointEvidence,
   ): void;
+  /**
+   * Called when an endpoint is seen to run the request, or may have run it. True
+   * if the request counts as run now; it is not called again then.
+   */
+  reportRun(exchange: Exchange, run: RunEvidence): boolean;
   /** Called when an answer continues after its first event, or is complete. */
   reportProgress(exchange: Exchange): void;
   /** Called when another process has the endpoint's address. */
@@ -52,6 +57,17 @@
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
 }
 
+/** When a request was sent to the endpoint that ran it, and what showed that. */
+export interface RunEvidence {
+  /** Monotonic times. */
+  readonly sentMs: number;
+  readonly seenMs: number;
+  /** Whether it is certain; otherwise the attempt ended without an answer. */
+  readonly isAnswered: boolean;
+  /** Requests that were at the endpoint, as estimated when this one was sent. */
+  readonly requestsThere: number;
+}
+
 /** What an attempt shows about its endpoint. */
 export type EndpointEvidence =
   | 'works'
@@ -145,6 +161,8 @@
   /** Events of the current attempt. */
   private events = 0;
   private timing: StreamTiming | undefined;
+  /** Whether a run of the request was reported. */
+  private hasRun = false;
   private over = false;
   private readonly timers: Timer[] = [];
   private attemptTimer: Timer | undefined;
@@ -234,6 +252,17 @@
     return this.endpoint?.id;
   }
 
+  /** `isAnswered` is false if the attempt ends without an answer. */
+  private reportRun(isAnswered: boolean): void {
+    if (this.hasRun || !this.endpoint || this.answer?.misdirected) return;
+    this.hasRun = this.dispatcher.reportRun(this, {
+      sentMs: this.startedMs,
+      seenMs: this.deps.clock.elapsedMs(),
+      isAnswered,
+      requestsThere: this.estimate.requests,
+    });
+  }
+
   /**
    * Sends the request to another endpoint if it may run again and the present
    * one, whose reports have stopped, should have begun to answer by now.
@@ -247,6 +276,7 @@
     const conditions = {leftMs: this.deadlineMs - nowMs, withinBudget: true};
     if (nextStep(attempts, 'broken', conditions) !== 'retry') return;
     if (!this.dispatcher.takeRetry(this)) return;
+    this.reportRun(false);
     this.attempt.abort();
     this.recordAttempt('broken', 'reports of the endpoint have stopped');
     this.attempts = attempts;
@@ -296,6 +326,9 @@
     if (this.endpoint && showsLimit && !misdirected) {
       this.dispatcher.reportLimit(this.endpoint, answer.limitPerS);
     }
+    // A stream begins with its first event.
+    if (!this.isStream && isSuccess(head.status) && hasRun)
+      this.reportRun(true);
     const begun = this.passedOnHead;
     if (begun && this.relaysAnswer() && !isSameKind(begun, head)) {
       this.attempt?.abort();
@@ -325,6 +358,7 @@
 
   private passOn(bytes: Buffer, events: number): void {
     this.events += events;
+    if (events > 0) this.reportRun(true);
     if (this.events > 1) this.dispatcher.reportProgress(this);
     const {res, arrivedMs} = this.incoming;
     const sinceArrivalMs = this.deps.clock.elapsedMs() - arrivedMs;
@@ -394,6 +428,7 @@
     }
     const deliverable = head.status < 500 && answer.signed;
     if (deliverable) {
+      this.reportRun(true);
       this.recordAttempt('answered');
       this.releaseAttempt('works');
       this.writeWholeAnswer();
@@ -408,6 +443,8 @@
     evidence: EndpointEvidence = EVIDENCE[outcome],
   ): void {
     if (this.over || !this.endpoint) return;
+    if (outcome === 'failed' || outcome === 'broken')
+      this.reportRun(outcome === 'failed');
     this.recordAttempt(outcome, reason);
     this.releaseAttempt(evidence);
     this.attempts = countAttempt(this.attempts, outcome);
@@ -471,6 +508,7 @@
 
   private stopAttempt(): void {
     if (!this.attempt) return;
+    if (!this.answer?.notRun) this.reportRun(false);
     this.attempt.abort();
     this.recordAttempt('aborted');
     this.releaseAttempt(this.head ? 'works' : 'none');
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -40,6 +40,7 @@
   readonly clock: Clock;
   readonly random: () => number;
   readonly log?: Log;
+  readonly onRun?: (exchange: Exchange, beganMs: number) => void;
 }): RequestDispatcher {
   const {instance, zone, clock, random, log = () => undefined} = gateway;
   return new RequestDispatcher(
@@ -63,6 +64,7 @@
       handleQuarantine: () => undefined,
     }),
     () => undefined,
+    gateway.onRun,
   );
 }
 
