Duties: usage reports and scaling are performed beside the lease

Need: the lease, the reports and the scaling decisions were built side by side and not connected. Where the settings name duties, entries count the requests that began and send the counts to the sidecar that holds the lease; it reports each window and orders endpoints. Without them nothing is built and no call is made.

--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -195,6 +195,11 @@
     return this.heard;
   }
 
+  /** Number of gateways that receive the reports. */
+  get gateways(): number {
+    return this.subscribers.size;
+  }
+
   start(): Promise<void> {
     return this.datagrams.listen(this.self);
   }
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -73,6 +73,16 @@
   /** Requests per second that a cold endpoint can serve; 0 means unlimited. */
   readonly coldRequestsPerS: number;
   readonly engine: EngineSpec | undefined;
+  /** Undefined if the number of its endpoints is not changed. */
+  readonly scaling?: ScalingSpec | undefined;
+}
+
+/** Between how many endpoints a service may have in each zone. */
+export interface ScalingSpec {
+  readonly min: number;
+  readonly max: number;
+  /** Time from an order until new endpoints serve. */
+  readonly bootMs: number;
 }
 
 export interface Account {
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -3,21 +3,12 @@
  * is the only module that knows the adapter to the platform.
  */
 import http from 'node:http';
-import {randomUUID} from 'node:crypto';
 import {createCrashStore} from '../platform/crashes';
-import {
-  CloudClient,
-  createCloudClient,
-  createDutyTable,
-  DUTY_KEY,
-} from '../platform/duties';
 import {platformHeaders} from '../platform/headers';
 import {createEngineClient} from '../platform/engineclient';
 import {Bounds, Deployment} from '../platform/settings';
-import {createStoreClient, Store} from '../platform/store';
+import {createStoreClient} from '../platform/store';
 import {crashTable, endpointTable, operatorTable} from '../platform/tables';
-import {leaseTimes} from './duties/lease';
-import {DutyMessage, Lease, LeaseTask} from './duties/leasetask';
 import {
   emptyCatalog,
   applyEndpointChange,
@@ -33,11 +24,9 @@
   LoadSubscriber,
 } from './gateway/loadreports';
 import {listenAt, createReadinessServer} from './gateway/readiness';
-import {Peer} from './gateway/datagrams';
 import {StoreProgress} from './gateway/storeprogress';
 import {TableWatch} from './gateway/tablewatch';
 import {watchTimes} from './gateway/watchtimes';
-import {parseAddress} from './kernel/address';
 import {Clock, msSince, repeatEvery, systemClock, Timer} from './kernel/clock';
 import {JsonClient} from './kernel/jsonclient';
 import {LoopDelayMonitor} from './observe/loopdelay';
@@ -50,6 +39,7 @@
 import {currentTarget, passTarget} from './ranks/passtarget';
 import {createRankClient, PASSED_MAP_TIMEOUT_MS} from './ranks/rankclient';
 import {RoundTrips} from './ranks/roundtrip';
+import {DutyPerformer, wireDutyHolder, wireUsageCounter} from './wiring-duties';
 
 /**
  * Longest wait of a sidecar's polls, in milliseconds. It is long because a
@@ -89,8 +79,6 @@
 /** Time reserved for the process to exit before it is killed. */
 const SHUTDOWN_MARGIN_MS = 500;
 const DRAIN_POLL_INTERVAL_MS = 50;
-/** Interval at which the holder of the duties looks for due calls. */
-const DUTY_INTERVAL_MS = 250;
 /** Time for answers to be sent before the process exits. */
 const LAST_ANSWERS_MS = 100;
 
@@ -175,7 +163,16 @@
     crashMonitor,
     ({address}, limitPerS) =>
       loadSubscriber.sendLimit(hostOf(address), limitPerS),
+    (exchange, beganMs) => usage?.recordRun(exchange, beganMs),
   );
+  const usage = wireUsageCounter({
+    deployment,
+    store,
+    dispatcher,
+    send: (host, message) => loadSubscriber.sendUsage(host, message),
+    clock,
+    log,
+  });
   const loopDelay = new LoopDelayMonitor(clock, log, ms =>
     registry.recordDuration('boragemill_event_loop_delay_ms', ms),
   );
@@ -260,6 +257,7 @@
         );
     },
     handleProcessGone: address => crashMonitor.handleProcessGone(address),
+    handleDuties: (host, duties) => usage?.handleDuties(host, duties),
     clock,
     log,
   });
@@ -289,6 +287,7 @@
       void endpointWatch.run();
       void crashWatch.run();
       await loadSubscriber.start();
+      usage?.start();
       await listenForMetrics(metrics, deployment, log);
       if (deployment.readiness) await listenAt(readiness, deployment.readiness);
       if (deployment.callers) await callerServer.listen(deployment.callers);
@@ -309,6 +308,7 @@
       operatorWatch.stop();
       endpointWatch.stop();
       crashWatch.stop();
+      usage?.stop();
       loadSubscriber.stop();
       loopDelay.stop();
       readiness.close();
@@ -353,6 +353,7 @@
 export function wirePlatformSidecar(
   deployment: Deployment,
   clock: Clock = systemClock,
+  perform?: DutyPerformer,
 ): Program {
   const {instance, zone, ip, peerPort, endpoint = '', service} = deployment;
   const log = logFor('sidecar', {instance, zone});
@@ -383,6 +384,7 @@
     log,
     heartbeat => agent.recordSign(heartbeat),
     (message, from) => duties?.handleMessage(message, from),
+    message => duties?.handleUsage(message),
   );
   let catalog = emptyCatalog;
   const operatorWatch = new TableWatch(
@@ -463,12 +465,14 @@
   });
   const peers = http.createServer((req, res) => agent.handle(req, res));
   const registry = new MetricsRegistry();
-  const duties = wireDuties({
+  const duties = wireDutyHolder({
     deployment,
     store,
+    catalog: () => catalog,
     isCandidate: () => coordinator.isLeading(),
+    gateways: () => publisher.gateways,
     send: (message, peer) => publisher.sendDuty(message, peer),
-    perform: performDuties,
+    perform,
     registry,
     clock,
     log,
@@ -509,6 +513,7 @@
               address: endpoint,
               ...load,
               requestLimit: passes.limit,
+              duties: duties?.held,
             });
           },
           (error: unknown) => {
@@ -534,84 +539,6 @@
   };
 }
 
-/**
- * Makes the calls that are due; called several times a second while this instance
- * holds the duties. Whoever makes a call checks `lease` again right before it.
- */
-type DutyPerformer = (lease: Lease, cloud: CloudClient) => void;
-
-/** No duty is performed yet; usage reports and scaling are called from here. */
-const performDuties: DutyPerformer = () => undefined;
-
-interface Duties {
-  start(): void;
-  stop(): Promise<void>;
-  handleMessage(message: DutyMessage, from: Peer): void;
-}
-
-/** The lease on the duties; undefined if the deployment has none. */
-function wireDuties({
-  deployment: {instance, ip, peerPort, cloud},
-  store,
-  isCandidate,
-  send,
-  perform,
-  registry,
-  clock,
-  log,
-}: {
-  readonly deployment: Deployment;
-  readonly store: Store;
-  readonly isCandidate: () => boolean;
-  readonly send: (message: DutyMessage, peer: Peer) => void;
-  readonly perform: DutyPerformer;
-  readonly registry: MetricsRegistry;
-  readonly clock: Clock;
-  readonly log: Log;
-}): Duties | undefined {
-  if (!cloud || cloud.duties.length === 0) return undefined;
-  const lease = new LeaseTask({
-    duty: DUTY_KEY,
-    self: {instance, process: randomUUID(), address: `${ip}:${peerPort}`},
-    table: createDutyTable(store),
-    times: leaseTimes(cloud.bounds.leaseMs),
-    isCandidate,
-    send(message, address) {
-      const peer = parseAddress(address);
-      if (peer) send(message, peer);
-      else log('warn', 'duty holder has an invalid address', {address});
-    },
-    count: event => registry.increment('boragemill_duty_events_total', {event}),
-    clock,
-    log,
-    random: Math.random,
-  });
-  registry.registerGauge('boragemill_duty_held', () =>
-    Number(lease.current() !== undefined),
-  );
-  registry.registerGauge(
-    'boragemill_duty_token',
-    () => lease.current()?.token ?? 0,
-  );
-  const client = createCloudClient(cloud.address, instance, clock);
-  let timer: Timer | undefined;
-  return {
-    start() {
-      lease.start();
-      timer = repeatEvery(clock, DUTY_INTERVAL_MS, () => {
-        const current = lease.current();
-        if (current) perform(current, client);
-      });
-    },
-    stop() {
-      timer?.cancel();
-      return lease.stop();
-    },
-    handleMessage: (message, {host, port}) =>
-      lease.handleMessage(message, `${host}:${port}`),
-  };
-}
-
 function isConnectionRefused(error: unknown): boolean {
   return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
