Duties: find leases that overlap, and challenges that calm does not need

The model now records a lease that is still valid on a running instance when another acquires the next term, and an instance's writes may all be lost. Two tests were added: candidates that freeze cause no write, and with all datagrams cut for 240 s the holder stays and the writes are bounded.

--- a/test/dutylease.test.ts
+++ b/test/dutylease.test.ts
@@ -41,6 +41,7 @@
   'storeDown',
   'lostAnswers',
   'lateStore',
+  'noWrites',
   'historyGone',
   'platformLate',
 ];
@@ -85,9 +86,10 @@
   const world = await play(scene);
   const tookMs = await world.waitForHolder(holderMs);
   await world.wait(1_000);
-  const {calls, store, logs} = world;
+  const {calls, store, logs, overlaps} = world;
   const log = () => logs.slice(-60).join('\n');
   expect(oneViolations(calls, LEASE_MS), log()).to.deep.equal([]);
+  expect(overlaps, log()).to.deep.equal([]);
   expect(store.terms, 'terms').to.deep.equal(
     [...store.terms].sort((a, b) => a - b),
   );
@@ -154,6 +156,43 @@
     expect(world.store.polls - polls, 'polls').to.be.within(38, 41);
   });
 
+  // Otherwise each pause of a candidate would be written to the store.
+  it('writes nothing when candidates freeze', async () => {
+    const world = new DutyWorld(SEED, INSTANCES, 0);
+    await world.wait(1_000);
+    const {writes} = world.store;
+    const [holder] = world.holders();
+    const candidates = world.instances.filter(i => i !== holder);
+    for (let i = 0; i < 30; i++) {
+      const instance = world.instances.indexOf(candidates[i % 3]!);
+      const durationMs = 300 + 190 * i;
+      const fault = {atMs: world.trueMs, instance, durationMs, stepMs: 0};
+      world.begin({...fault, kind: i % 2 ? 'freeze' : 'suspend'});
+      await world.wait(durationMs + 530);
+    }
+    expect(world.store.writes - writes).to.equal(0);
+    expect(world.holders()).to.deep.equal([holder]);
+  });
+
+  // Otherwise the duties would pass on again and again, and nobody perform them.
+  it('stays with its holder while only datagrams are cut', async () => {
+    const world = new DutyWorld(SEED, INSTANCES, 0);
+    await world.wait(1_000);
+    const {writes} = world.store;
+    const [holder] = world.holders();
+    for (let instance = 0; instance < INSTANCES; instance++) {
+      const fault = {atMs: world.trueMs, durationMs: 300_000, stepMs: 0};
+      world.begin({...fault, instance, kind: 'noDatagrams'});
+    }
+    for (let i = 0; i < 30; i++) {
+      await world.wait(8_000);
+      expect(world.holders()).to.deep.equal([holder]);
+    }
+    // At most a challenge and its answer every 20 s for each candidate.
+    const rounds = (240 / 20 + 4) * (INSTANCES - 1);
+    expect(world.store.writes - writes).to.be.below(2 * rounds);
+  });
+
   it('passes to another after a planned stop', async () => {
     const world = new DutyWorld(SEED, INSTANCES, 0);
     await world.waitForHolder(1_000);
--- a/test/dutyworld.ts
+++ b/test/dutyworld.ts
@@ -36,6 +36,7 @@
   | 'storeDown'
   | 'lostAnswers'
   | 'lateStore'
+  | 'noWrites'
   | 'historyGone'
   | 'platformLate';
 
@@ -173,6 +174,7 @@
 
   write(row: DutyRow, expectedVersion: number): boolean {
     if (this.row.version !== expectedVersion) return false;
+    this.world.checkOverlap(row);
     this.version += 1;
     this.writes += 1;
     this.row = {row, version: this.version};
@@ -225,6 +227,8 @@
   readonly calls: DutyCall[] = [];
   readonly times: LeaseTimes = leaseTimes(LEASE_MS);
   readonly logs: string[] = [];
+  /** Terms that were acquired while the lease on another was still valid. */
+  readonly overlaps: string[] = [];
   /** Share of messages that are lost, late, repeated or refused. */
   noise: number;
   private readonly faults = new Set<FaultKind>();
@@ -270,6 +274,18 @@
     return Infinity;
   }
 
+  /** Records running instances that hold a lease although another acquires it. */
+  checkOverlap({term, holder}: DutyRow): void {
+    const isAcquired = term > Math.max(0, ...this.store.terms);
+    if (!isAcquired || !holder) return;
+    for (const {name} of this.holders()) {
+      if (name !== holder.instance)
+        this.overlaps.push(
+          `term ${term} of ${holder.instance}, held by ${name}`,
+        );
+    }
+  }
+
   /** Instances that may make calls now. */
   holders(): readonly Instance[] {
     return this.instances.filter(
@@ -309,6 +325,7 @@
       case 'cut':
       case 'noStore':
       case 'noDatagrams':
+      case 'noWrites':
         instance.faults.add(kind);
         end(() => {
           instance.faults.delete(kind);
@@ -501,6 +518,7 @@
         }),
       write: async (row, expectedVersion) => {
         const {value} = await call<boolean>(0, answer => {
+          if (instance.faults.has('noWrites')) return;
           const isDone = store.write(row, expectedVersion);
           // A repeated transaction is answered by its second execution.
           const isRepeated = this.isDue(this.noise);
