--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -362,6 +362,7 @@
 export function wirePlatformSidecar(
   deployment: Deployment,
   clock: Clock = systemClock,
+  perform: DutyPerformer = performDuties,
 ): Program {
   const {instance, zone, ip, peerPort, endpoint = '', service} = deployment;
   const log = logFor('sidecar', {instance, zone});
@@ -477,7 +478,7 @@
     store,
     isCandidate: () => coordinator.isLeading(),
     send: (message, peer) => publisher.sendDuty(message, peer),
-    perform: performDuties,
+    perform,
     registry,
     clock,
     log,
@@ -546,7 +547,7 @@
  * Makes the calls that are due; called several times a second while this instance
  * holds the duties. Whoever makes a call checks `lease` again right before it.
  */
-type DutyPerformer = (lease: Lease, cloud: CloudClient) => void;
+export type DutyPerformer = (lease: Lease, cloud: CloudClient) => void;
 
 /** No duty is performed yet; usage reports and scaling are called from here. */
 const performDuties: DutyPerformer = () => undefined;
