Usage reports: need three quarters of the clocks, nine tenths of the counts

A new holder that had heard half of the entries could take a minority of stepped clocks for the truth, and one that had not heard a living entry reported a window without its counts. Windows are missed rather than billed wrongly.

--- a/src/duties/usagereport.ts
+++ b/src/duties/usagereport.ts
@@ -153,10 +153,16 @@
 const KEPT_FOR_REPEATS = 0.2;
 
 /**
- * Share of the gateways that must be heard for a report, and for the median of
- * their clocks.
+ * Share of the gateways whose clocks must be known for the median. With half of
+ * them, those that are wrong may be the majority of those heard.
  */
-const MIN_HEARD_SHARE = 0.5;
+const MIN_CLOCK_SHARE = 0.75;
+
+/**
+ * Share of the gateways without which a window is not reported. A gateway that
+ * lives and is not heard makes counts too low by its part.
+ */
+const MIN_HEARD_SHARE = 0.9;
 
 /** Bound on the gateway processes of which counts are kept. */
 const MAX_SOURCES = 8_192;
@@ -391,14 +397,15 @@
   gateways: number,
   nowMs: number,
 ): number | undefined {
-  const offsets: number[] = [];
-  for (const {heardMs, clockOffsetMs} of sources.values()) {
+  // The processes of one instance have one clock.
+  const offsets = new globalThis.Map<string, number>();
+  for (const {entry, heardMs, clockOffsetMs} of sources.values()) {
     if (clockOffsetMs === undefined || nowMs - heardMs > OFFSET_VALID_MS)
       continue;
-    offsets.push(clockOffsetMs);
+    offsets.set(entry, clockOffsetMs);
   }
-  const needed = Math.max(1, gateways) * MIN_HEARD_SHARE;
-  return offsets.length >= needed ? median(offsets) : undefined;
+  const needed = Math.max(1, gateways) * MIN_CLOCK_SHARE;
+  return offsets.size >= needed ? median([...offsets.values()]) : undefined;
 }
 
 /** Takes over which windows gateways say that other holders have begun. */
