--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -188,6 +188,11 @@
     this.datagrams.close();
   }
 
+  /** Number of gateways that subscribed lately. */
+  get subscriberCount(): number {
+    return this.subscribers.size;
+  }
+
   publish(report: Omit<LoadReport, 'gateways' | 'limitPerS' | 'share'>): void {
     this.goneSent = 0;
     const nowMs = this.clock.elapsedMs();
