Waits and refusals by urgency where routes of a service have several priorities

A request waited 0.4 of its target latency if its caller may retry. Less urgent streams have longer targets, so they waited longer and got more of the slots.

The wait is now 0.7 of the service's shortest target latency for the most urgent class to 0.05 for the least (trial figures on a deployment: 0.7, 0.4, 0.05). A request with more before it than room frees at this entry within its wait is refused at once, with a Retry-After by the same rate, spread out. Services of one priority wait as before. waitsByUrgency: false gives the waits before. New metrics boragemill_waiting_requests{urgency} and boragemill_refused_by_urgency_total{urgency,reason}.

Not measured on a deployment.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -49,8 +49,20 @@
   longAnswerMs,
   retryDelayMs,
   updateAnswerTime,
-  waitLimit,
 } from './waitlimit';
+import {
+  classOf,
+  emptyRoomHistory,
+  isStarved,
+  recordRoom,
+  roomDelayMs,
+  RoomHistory,
+  roomPerS,
+  UrgencyClasses,
+  urgencyClasses,
+  urgentWait,
+  UrgentWaitConditions,
+} from './urgency';
 import {emptyLastSends, isWithinRate} from './sharedrate';
 import {
   applyRegistration,
@@ -64,6 +76,7 @@
   UnavailableEndpoints,
 } from './unavailability';
 import {
+  countAhead,
   countPlaced,
   emptyQueue,
   enqueue,
@@ -80,6 +93,11 @@
   readonly retryRatio: number;
   /** Length of the window over which retries are counted. */
   readonly retryWindowMs: number;
+  /**
+   * False if all classes of requests wait for a share of their target latency; true
+   * if absent.
+   */
+  readonly waitsByUrgency?: boolean;
 }
 
 /** Interval at which waiting requests are served again, in milliseconds. */
@@ -157,6 +175,10 @@
   /** Time at which the process ends; infinite until it is stopped. */
   private stopMs = Infinity;
   private lastSends = emptyLastSends;
+  /** Urgency classes by service, for a version of the configuration. */
+  private classes = new Map<string, UrgencyClasses>();
+  /** By service; only those with several urgency classes have one. */
+  private readonly rooms = new Map<string, RoomHistory>();
   /** This gateway's place in the turns at each endpoint. */
   private readonly phases = new Map<string, number>();
   /** Limits that endpoints have named, in requests per second, by id. */
@@ -207,6 +229,7 @@
     this.catalog = applyOperatorChange(before, change, isFullRead, asOf);
     const version = this.catalog.configuration?.version;
     if (version !== before.configuration?.version) {
+      this.classes = new Map();
       this.log('info', 'configuration applied', {version});
     }
     if (!this.catalog.zonesOut.equals(before.zonesOut)) {
@@ -255,6 +278,10 @@
     this.loads = applyReport(this.loads, report, nowMs);
     const {id, limitPerS} = report;
     if (limitPerS !== undefined) this.setLimit(id, limitPerS, 'sidecar');
+    const service = this.catalog.endpoints.get(id)?.service;
+    if (service !== undefined && report.share) {
+      this.recordRoom(service, {freed: report.share});
+    }
     // Without a free slot for this gateway the report helps no waiting request.
     if (report.share !== 0) this.serveIfWaiting();
   }
@@ -360,22 +387,19 @@
     const nowMs = this.clock.elapsedMs();
     const budget = this.retryBudget();
     this.retries.set(service, countFirstAttempt(retries, budget, nowMs));
+    this.recordRoom(service, {arrived: this.urgencyOf(exchange)});
     this.place(exchange);
   }
 
+  /** Sends a request to an endpoint, lets it wait, or refuses it. */
   place(exchange: Exchange): void {
     if (exchange.hasEnded || this.rejectIfQuarantined(exchange)) return;
     if (!this.canEndBeforeStop(exchange)) return this.refuseForStop(exchange);
-    const {service, route, account, arrivedMs} = exchange.incoming;
+    const {service, account, arrivedMs} = exchange.incoming;
     const queue = this.queueOf(service);
     const nowMs = this.clock.elapsedMs();
-    const {callerMayRetry, untilMs} = waitLimit({
-      nowMs,
-      deadlineMs: exchange.deadlineMs,
-      route,
-      meanAnswerMs:
-        this.answerTimes.get(service)?.meanMs ?? route.targetLatencyMs,
-    });
+    const conditions = this.waitConditions(exchange);
+    const {callerMayRetry, untilMs, isHopeless} = urgentWait(conditions);
     const choice = this.chooseFor(exchange);
     if (choice.kind === 'unavailable') {
       return this.refuseForNoEndpoint(exchange, choice.forMs);
@@ -386,12 +410,13 @@
     if (choice.kind === 'endpoint' && queue.waiting.length === 0) {
       return this.send(exchange, choice.endpoint);
     }
+    if (isHopeless) return this.refuseForNoRoom(exchange, 'no room in time');
     this.queues.set(
       service,
       enqueue(queue, {
         request: exchange,
         account: account?.name ?? '',
-        priority: account?.priority ?? route.priority,
+        priority: priorityOf(exchange),
         arrivedMs,
         untilMs,
         callerMayRetry,
@@ -400,6 +425,89 @@
     this.scheduleServe();
   }
 
+  /** Requests that wait, of all services, by their priority. */
+  waitingCount(priority: number): number {
+    const queues = [...this.queues.values()];
+    const waiting = queues.flatMap(queue => queue.waiting);
+    return waiting.filter(w => w.priority === priority).length;
+  }
+
+  /** Priorities of the services' routes while they differ. */
+  competingPriorities(): readonly number[] {
+    const services = [...this.catalog.services.keys()];
+    const classes = services.map(name => this.classesOf(name).priorities);
+    return [...new Set(classes.filter(c => c.length > 1).flat())];
+  }
+
+  private classesOf(service: string): UrgencyClasses {
+    const known = this.classes.get(service);
+    if (known) return known;
+    const {waitsByUrgency = true} = this.settings;
+    const classes = urgencyClasses(
+      waitsByUrgency ? this.catalog.configuration : undefined,
+      service,
+    );
+    this.classes.set(service, classes);
+    return classes;
+  }
+
+  private urgencyOf(exchange: Exchange): number {
+    const classes = this.classesOf(exchange.incoming.service);
+    return classOf(classes, priorityOf(exchange));
+  }
+
+  private recordRoom(
+    service: string,
+    event: Parameters<typeof recordRoom>[1],
+  ): void {
+    if (this.classesOf(service).priorities.length < 2) return;
+    const nowMs = this.clock.elapsedMs();
+    const room = this.rooms.get(service) ?? emptyRoomHistory(nowMs);
+    this.rooms.set(service, recordRoom(room, event, nowMs));
+  }
+
+  /** Tells whether requests of a priority go first because they get little. */
+  private starvation(service: string): (priority: number) => boolean {
+    const room = this.rooms.get(service);
+    if (!room) return () => false;
+    const classes = this.classesOf(service);
+    const starved = classes.priorities.map((_, of) => isStarved(room, of));
+    return priority => starved[classOf(classes, priority)] ?? false;
+  }
+
+  private waitConditions(exchange: Exchange): UrgentWaitConditions {
+    const {service, route} = exchange.incoming;
+    const nowMs = this.clock.elapsedMs();
+    const room = this.rooms.get(service) ?? emptyRoomHistory(nowMs);
+    const priority = priorityOf(exchange);
+    const isPriorityStarved = this.starvation(service);
+    const classes = this.classesOf(service);
+    const competes = classes.priorities.length > 1;
+    return {
+      nowMs,
+      deadlineMs: exchange.deadlineMs,
+      route,
+      meanAnswerMs:
+        this.answerTimes.get(service)?.meanMs ?? route.targetLatencyMs,
+      classes,
+      urgency: this.urgencyOf(exchange),
+      isStarved: isPriorityStarved(priority),
+      ahead: competes
+        ? countAhead(this.queueOf(service), priority, isPriorityStarved)
+        : 0,
+      roomPerS: roomPerS(room, nowMs),
+    };
+  }
+
+  private refuseForNoRoom(exchange: Exchange, reason: string): void {
+    const {priorities} = this.classesOf(exchange.incoming.service);
+    const delayMs =
+      priorities.length < 2
+        ? this.addJitter(OVERLOAD_RETRY_AFTER_MS)
+        : roomDelayMs(this.waitConditions(exchange), this.random);
+    exchange.refuse(reason, delayMs);
+  }
+
   /**
    * Stops by a time on the monotonic clock. Until then, requests are refused if
    * they may not be answered by it; a request that was cut off then might have
@@ -432,6 +540,9 @@
     evidence: EndpointEvidence,
   ): void {
     this.loads = countFinished(this.loads, endpoint, SLOT_CHANGES[evidence]);
+    if (SLOT_CHANGES[evidence] === 'freed') {
+      this.recordRoom(exchange.incoming.service, {freed: 1});
+    }
     const nowMs = this.clock.elapsedMs();
     if (evidence === 'works' || evidence === 'rejects') {
       this.avoidance = clearFailures(this.avoidance, endpoint);
@@ -552,6 +663,7 @@
     const queue = this.queueOf(service);
     this.queues.set(service, countPlaced(queue, account?.name ?? '', nowMs));
     this.lastSends = this.lastSends.set(endpoint.id, nowMs);
+    this.recordRoom(service, {placed: this.urgencyOf(exchange)});
     exchange.send(endpoint, estimate);
   }
 
@@ -645,13 +757,14 @@
     );
     this.queues.set(service, queue);
     for (const {request} of expired) {
-      request.refuse('overload', this.addJitter(OVERLOAD_RETRY_AFTER_MS));
+      this.refuseForNoRoom(request, 'overload');
     }
     for (const {request} of queue.waiting) {
       if (!this.canEndBeforeStop(request)) this.refuseForStop(request);
     }
     for (;;) {
-      const next = nextRequest(this.queueOf(service));
+      const isFirst = this.starvation(service);
+      const next = nextRequest(this.queueOf(service), undefined, isFirst);
       if (!next) return;
       const choice = this.chooseFor(next.request);
       if (choice.kind === 'full') return;
@@ -704,6 +817,11 @@
   }
 }
 
+/** 0 is the most urgent. */
+function priorityOf({incoming: {account, route}}: Exchange): number {
+  return account?.priority ?? route.priority;
+}
+
 /** Services have different endpoints, so their parts are told apart. */
 function promptOf({incoming: {service, metadata}}: Exchange): Prompt {
   return metadata.sharedParts.map(part => `${service}/${part}`);
--- a/src/gateway/queue.ts
+++ b/src/gateway/queue.ts
@@ -65,14 +65,28 @@
 export function nextRequest<T>(
   queue: Queue<T>,
   fits: (item: QueuedRequest<T>) => boolean = () => true,
+  isStarved: (priority: number) => boolean = () => false,
 ): QueuedRequest<T> | undefined {
   let best: QueuedRequest<T> | undefined;
   for (const item of queue.waiting) {
-    if (fits(item) && (!best || goesBefore(queue, item, best))) best = item;
+    if (!fits(item)) continue;
+    if (!best || goesBefore(queue, item, best, isStarved)) best = item;
   }
   return best;
 }
 
+/** Waiting requests that are at least as urgent as one that arrives. */
+export function countAhead<T>(
+  {waiting}: Queue<T>,
+  priority: number,
+  isStarved: (priority: number) => boolean,
+): number {
+  const isFirst = isStarved(priority);
+  return waiting.filter(
+    w => isStarved(w.priority) || (!isFirst && w.priority <= priority),
+  ).length;
+}
+
 /** Removes and returns the requests whose time to wait is over. */
 export function takeExpired<T>(
   queue: Queue<T>,
@@ -98,7 +112,10 @@
   queue: Queue<T>,
   a: QueuedRequest<T>,
   b: QueuedRequest<T>,
+  isStarved: (priority: number) => boolean,
 ): boolean {
+  const isFirst = isStarved(a.priority);
+  if (isFirst !== isStarved(b.priority)) return isFirst;
   if (a.priority !== b.priority) return a.priority < b.priority;
   if (a.callerMayRetry !== b.callerMayRetry) return a.callerMayRetry;
   const [servedA, servedB] = [a, b].map(w => queue.served.get(w.account, 0));
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -73,6 +73,9 @@
  */
 const MAX_CONFIGURATION_AGE_FRACTION = 0.7;
 
+/** Status of a request that was refused and has not run. */
+const NOT_RUN_STATUS = 503;
+
 /** How long a stopping entry still accepts requests, in milliseconds. */
 const DRAIN_ACCEPT_MS = 3_000;
 /** Time reserved for the process to exit before it is killed. */
@@ -122,6 +125,12 @@
         route: route.name,
         status,
       });
+      if (ended.status === NOT_RUN_STATUS && ended.outcome !== 'answered') {
+        registry.increment('boragemill_refused_by_urgency_total', {
+          urgency: String(account?.priority ?? route.priority),
+          reason: ended.outcome,
+        });
+      }
       registry.recordDuration('boragemill_request_ms', ms, {kind: route.kind});
       for (const {outcome} of ended.tries) {
         registry.increment('boragemill_attempts_total', {outcome});
@@ -189,6 +198,12 @@
     {
       handleChange(change, isFullRead, asOf) {
         dispatcher.handleOperatorChange(change, isFullRead, asOf);
+        for (const priority of dispatcher.competingPriorities()) {
+          registry.registerGauge(
+            `boragemill_waiting_requests{urgency="${priority}"}`,
+            () => dispatcher.waitingCount(priority),
+          );
+        }
         const idleMs =
           dispatcher.currentCatalog().configuration?.limits.idleTimeoutMs;
         if (idleMs !== undefined) callerServer.setIdleTimeout(idleMs);
