--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -41,10 +41,17 @@
   readonly random: () => number;
   readonly log?: Log;
   readonly onRun?: (exchange: Exchange, beganMs: number) => void;
+  readonly waitsByUrgency?: boolean;
 }): RequestDispatcher {
   const {instance, zone, clock, random, log = () => undefined} = gateway;
+  const {waitsByUrgency = true} = gateway;
   return new RequestDispatcher(
-    {zone, retryRatio: RETRY_RATIO, retryWindowMs: RETRY_WINDOW_MS},
+    {
+      zone,
+      retryRatio: RETRY_RATIO,
+      retryWindowMs: RETRY_WINDOW_MS,
+      waitsByUrgency,
+    },
     clock,
     random,
     log,
