Split admission and choice of endpoint from their effects

Need: an explanation of routing must run the decisions of the data path without refusing or sending anything. The checks before a request's body were statements of the callers' server, and the choice of an endpoint returned only its result.

Change: admitRequest (requestadmission.ts) decides on admission and reads the account only after a route was found, as before. chooseEndpoint takes one of the set that narrow returns; explainPlacement returns that set and the step that excluded each other endpoint. registrationState names why a registered endpoint is not among the serving ones. The order of checks and of random numbers is unchanged.

--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -7,10 +7,10 @@
 import http from 'node:http';
 import {Clock, msSince} from '../kernel/clock';
 import {Log} from '../observe/log';
-import {Catalog, matchRoute} from './catalog';
+import {Catalog} from './catalog';
 import {IncomingRequest, writeFailure} from './exchange';
-import {Route} from './model';
-import {HeaderCodec} from './headercodec';
+import {HeaderCodec, RequestMetadata} from './headercodec';
+import {admitRequest, pickService} from './requestadmission';
 
 export interface CallerServerDependencies {
   readonly headers: HeaderCodec;
@@ -42,18 +42,6 @@
 /** Connections stay open this much longer than callers may use them. */
 const IDLE_MARGIN_MS = 1_000;
 
-/** Retry-After while stopping or without a usable configuration. */
-const UNAVAILABLE_RETRY_AFTER_MS = 500;
-/** Retry-After while the configuration may be out of date. */
-const STALE_RETRY_AFTER_MS = 1_500;
-
-/**
- * An unknown route or key is answered with 404 or 401 only if the
- * configuration was confirmed at most this long ago; otherwise a newer one may
- * contain it.
- */
-const MAX_AGE_FOR_FINAL_REFUSAL_MS = 2_000;
-
 export class CallerServer {
   private readonly server: http.Server;
   private draining = false;
@@ -117,51 +105,38 @@
     if (this.draining) res.shouldKeepAlive = false;
     const sendRefusal = (status: number, reason: string, retryMs?: number) =>
       this.refuse(req, res, status, reason, retryMs);
-    if (this.closing)
-      return sendRefusal(503, 'stopping', UNAVAILABLE_RETRY_AFTER_MS);
     const catalog = this.deps.catalog();
-    const {configuration} = catalog;
-    if (!configuration)
-      return sendRefusal(503, 'no configuration', UNAVAILABLE_RETRY_AFTER_MS);
-    const route = matchRoute(catalog, req.headers.host, req.url ?? '');
-    if (!route) {
-      if (this.configurationAgeMs() > MAX_AGE_FOR_FINAL_REFUSAL_MS) {
-        return sendRefusal(
-          503,
-          'configuration may be old',
-          STALE_RETRY_AFTER_MS,
-        );
-      }
-      return sendRefusal(404, 'no such route');
-    }
-    const metadata = this.deps.headers.readRequest(req.headers);
-    const account =
-      metadata.key === undefined ? undefined : catalog.keys.get(metadata.key);
-    if (configuration.requiresKeys && !route.public) {
-      if (this.areKeysStale()) {
-        return sendRefusal(503, 'keys cannot be checked', STALE_RETRY_AFTER_MS);
-      }
-      if (!account) {
-        if (this.configurationAgeMs() > MAX_AGE_FOR_FINAL_REFUSAL_MS) {
-          return sendRefusal(
-            503,
-            'configuration may be old',
-            STALE_RETRY_AFTER_MS,
-          );
-        }
-        return sendRefusal(401, 'unknown key');
-      }
+    let metadata: RequestMetadata | undefined;
+    const admission = admitRequest(
+      {
+        catalog,
+        configurationAgeMs: this.configurationAgeMs(),
+        maxConfigurationAgeMs: this.deps.maxConfigurationAgeMs,
+        stopping: this.closing,
+      },
+      {
+        host: req.headers.host,
+        target: req.url ?? '',
+        readAccount: () => {
+          metadata = this.deps.headers.readRequest(req.headers);
+          const {key} = metadata;
+          return key === undefined ? undefined : catalog.keys.get(key);
+        },
+      },
+    );
+    if (admission.kind === 'refuse') {
+      const {status, reason, retryAfterMs} = admission;
+      return sendRefusal(status, reason, retryAfterMs);
     }
-    const service = pickService(route, this.deps.random);
-    if (service === undefined)
-      return sendRefusal(503, 'no service', UNAVAILABLE_RETRY_AFTER_MS);
+    const {configuration, route, account} = admission;
+    const service = pickService(route, this.deps.random)!;
     readBody(req, configuration.limits.bodyBytes, outcome => {
       if (outcome === 'gone') return;
       if (outcome === 'large') return sendRefusal(413, 'body too large');
       this.deps.submit({
         req,
         res,
-        metadata,
+        metadata: metadata!,
         route,
         service,
         account,
@@ -186,22 +161,6 @@
   }
 }
 
-/** Picks a service of the route at random, by weight; none without a weight. */
-export function pickService(
-  {split}: Pick<Route, 'split'>,
-  random: () => number,
-): string | undefined {
-  const weighted = split.filter(({weight}) => weight > 0);
-  const total = weighted.reduce((sum, s) => sum + s.weight, 0);
-  let at = random() * total;
-  for (const {service, weight} of weighted) {
-    at -= weight;
-    if (at < 0) return service;
-  }
-  // Rounding may leave a rest.
-  return weighted.at(-1)?.service;
-}
-
 type BodyResult = Buffer | undefined | 'large' | 'gone';
 
 /** Reads the whole body; undefined if the request has none. */
--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -194,12 +194,52 @@
   return undefined;
 }
 
+/** Whether an endpoint may get new requests as far as the catalog tells. */
+export type RegistrationState =
+  | 'serving'
+  /** Its registration has gone recently; used only if none is serving. */
+  | 'lapsed'
+  | 'gone'
+  | 'draining'
+  | 'zone out of service'
+  /** Another process was found at its address. */
+  | 'replaced'
+  /** A process that started later has registered its address. */
+  | 'superseded';
+
+/** The registered endpoints of a service, in the order of the catalog. */
+export function registeredEndpoints(
+  catalog: Catalog,
+  service: string,
+): readonly Registration[] {
+  return endpointIndex(catalog).byService.get(service) ?? [];
+}
+
+/**
+ * The state of a registered endpoint. The registrations of processes that have
+ * ended lapse seconds after their successors are there.
+ */
+export function registrationState(
+  catalog: Catalog,
+  endpoint: Registration,
+  nowMs: number,
+): RegistrationState {
+  if (endpoint.draining) return 'draining';
+  if (catalog.zonesOut.has(endpoint.zone)) return 'zone out of service';
+  if (endpoint.excludedUntilMs > nowMs) return 'replaced';
+  const {latestAt} = endpointIndex(catalog);
+  const latest = latestAt.get(endpoint.address) ?? endpoint;
+  // A process that was not found there started by a clock that was wrong.
+  if (latest !== endpoint && latest.excludedUntilMs <= nowMs)
+    return 'superseded';
+  if (endpoint.goneSinceMs === undefined) return 'serving';
+  return nowMs - endpoint.goneSinceMs <= LAPSED_USE_MS ? 'lapsed' : 'gone';
+}
+
 /**
  * Endpoints of a service that may get new requests; if none is registered,
  * those whose registration has gone recently. Neither holds an endpoint that
- * `isAvailable` rejects, or one whose address a process that started later has
- * registered: the registrations of processes that have ended lapse seconds after
- * their successors are there.
+ * `isAvailable` rejects.
  */
 export function servingEndpoints(
   catalog: Catalog,
@@ -209,18 +249,12 @@
 ): readonly Registration[] {
   const serving: Registration[] = [];
   const lapsed: Registration[] = [];
-  const {byService, latestAt} = endpointIndex(catalog);
-  for (const endpoint of byService.get(service) ?? []) {
-    if (endpoint.draining) continue;
-    if (catalog.zonesOut.has(endpoint.zone)) continue;
-    if (endpoint.excludedUntilMs > nowMs) continue;
-    const latest = latestAt.get(endpoint.address) ?? endpoint;
-    // A process that was not found there started by a clock that was wrong.
-    if (latest !== endpoint && latest.excludedUntilMs <= nowMs) continue;
+  for (const endpoint of registeredEndpoints(catalog, service)) {
+    const state = registrationState(catalog, endpoint, nowMs);
+    if (state !== 'serving' && state !== 'lapsed') continue;
     if (!isAvailable(endpoint.id)) continue;
-    if (endpoint.goneSinceMs === undefined) serving.push(endpoint);
-    else if (nowMs - endpoint.goneSinceMs <= LAPSED_USE_MS)
-      lapsed.push(endpoint);
+    if (state === 'serving') serving.push(endpoint);
+    else lapsed.push(endpoint);
   }
   return serving.length > 0 ? serving : lapsed;
 }
--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -62,14 +62,98 @@
 /** Endpoints within this many requests of the least loaded count as equal. */
 const NEARLY_EQUAL_REQUESTS = 1;
 
+/** Why an endpoint is not among those from which one is taken. */
+export type Exclusion =
+  | 'group broken'
+  | 'tried before'
+  | 'silent'
+  | 'avoided'
+  | 'full'
+  | 'rate'
+  | 'slow'
+  | 'no share'
+  | 'no room without a share'
+  | 'more loaded'
+  | 'other zone';
+
+/**
+ * A step of the choice: those that are left, and why the others are not. Each
+ * step begins with those that the one before has left.
+ */
+interface Step {
+  readonly left: readonly Registration[];
+  readonly exclusion: Exclusion;
+}
+
+/** The endpoints from which one is taken at random, if there are any. */
+export type Placement =
+  | {readonly kind: 'endpoint'; readonly among: readonly Registration[]}
+  | {readonly kind: 'full'}
+  | {readonly kind: 'none'};
+
+interface Narrowing {
+  readonly placement: Placement;
+  readonly steps: readonly Step[];
+}
+
 export function chooseEndpoint(
   serving: readonly Registration[],
   tried: ReadonlySet<string>,
   context: ChoiceContext,
 ): Choice {
+  const {placement} = narrow(serving, tried, context);
+  if (placement.kind !== 'endpoint') return placement;
+  const endpoint = pickOne(placement.among, context.random);
+  return {kind: 'endpoint', endpoint};
+}
+
+/** What is decided about an endpoint, in the order of `serving`. */
+export interface CandidateVerdict {
+  readonly endpoint: Registration;
+  /** The step that excluded it; undefined if it may be taken. */
+  readonly exclusion: Exclusion | undefined;
+}
+
+export interface ExplainedPlacement {
+  readonly placement: Placement;
+  readonly verdicts: readonly CandidateVerdict[];
+}
+
+/** The set from which `chooseEndpoint` takes one, and why others are not in it. */
+export function explainPlacement(
+  serving: readonly Registration[],
+  tried: ReadonlySet<string>,
+  context: ChoiceContext,
+): ExplainedPlacement {
+  const {placement, steps} = narrow(serving, tried, context);
+  const sets = steps.map(({left, exclusion}) => ({
+    left: new Set(left),
+    exclusion,
+  }));
+  const verdicts = serving.map(endpoint => ({
+    endpoint,
+    exclusion: sets.find(({left}) => !left.has(endpoint))?.exclusion,
+  }));
+  return {placement, verdicts};
+}
+
+function narrow(
+  serving: readonly Registration[],
+  tried: ReadonlySet<string>,
+  context: ChoiceContext,
+): Narrowing {
   const {loads, avoidance, nowMs} = context;
-  const open = serving.filter(e => isGroupOpen(loads, e.id, nowMs));
-  if (open.length === 0) return {kind: 'none'};
+  const steps: Step[] = [];
+  const step = (exclusion: Exclusion, left: readonly Registration[]) => {
+    steps.push({exclusion, left});
+    return left;
+  };
+  const end = (placement: Placement) => ({placement, steps});
+  const open = step(
+    'group broken',
+    serving.filter(e => isGroupOpen(loads, e.id, nowMs)),
+  );
+  if (open.length === 0) return end({kind: 'none'});
   const untried = open.filter(e => !tried.has(e.id));
   const reporting = withoutSilent(untried, serving, context);
   const notAvoided = reporting.filter(e => !isAvoided(avoidance, e.id, nowMs));
@@ -77,25 +161,41 @@
   const usable = [notAvoided, reporting, untried, open].find(
     list => list.length > 0,
   )!;
-  const withRoom = usable.filter(
-    e =>
-      estimatedRequests(loads, e.id, nowMs) < capacity(loads, e, nowMs) &&
-      context.withinRate(e),
+  if (usable !== open) step('tried before', untried);
+  if (usable === reporting || usable === notAvoided) step('silent', reporting);
+  if (usable === notAvoided) step('avoided', notAvoided);
+  const notFull = step(
+    'full',
+    usable.filter(
+      e => estimatedRequests(loads, e.id, nowMs) < capacity(loads, e, nowMs),
+    ),
   );
+  const withRoom = step('rate', notFull.filter(context.withinRate));
   const notSlow = withRoom.filter(e => !isSlow(loads, e.id, nowMs));
-  const available = notSlow.length > 0 ? notSlow : withRoom;
+  const available = notSlow.length > 0 ? step('slow', notSlow) : withRoom;
   const allowed = available.filter(e => hasAllowance(loads, e.id, nowMs));
   if (allowed.length > 0) {
-    return {kind: 'endpoint', endpoint: leastLoaded(allowed, context)};
+    step('no share', allowed);
+    const near = step('more loaded', leastLoaded(allowed, context));
+    const own = near.filter(e => e.zone === context.zone);
+    const among = own.length > 0 ? step('other zone', own) : near;
+    return end({kind: 'endpoint', among});
+  }
+  if (context.hasBacklog) {
+    step('no share', allowed);
+    return end({kind: 'full'});
   }
-  if (context.hasBacklog) return {kind: 'full'};
   const roomy = available.filter(
     e =>
       estimatedRequests(loads, e.id, nowMs) <=
       capacity(loads, e, nowMs) * MAX_FILL_WITHOUT_SHARE,
   );
-  if (roomy.length <= usable.length / 2) return {kind: 'full'};
-  return {kind: 'endpoint', endpoint: pickOne(roomy, context.random)};
+  if (roomy.length <= usable.length / 2) {
+    step('no share', allowed);
+    return end({kind: 'full'});
+  }
+  step('no room without a share', roomy);
+  return end({kind: 'endpoint', among: roomy});
 }
 
 function withoutSilent(
@@ -123,15 +223,14 @@
   return new Set(silent.map(e => e.id));
 }
 
+/** The endpoints with nearly the lowest load. */
 function leastLoaded(
   endpoints: readonly Registration[],
-  {loads, nowMs, zone, random}: ChoiceContext,
-): Registration {
+  {loads, nowMs}: ChoiceContext,
+): readonly Registration[] {
   const counts = endpoints.map(e => estimatedRequests(loads, e.id, nowMs));
   const limit = Math.min(...counts) + NEARLY_EQUAL_REQUESTS;
-  const near = endpoints.filter((_, i) => counts[i]! <= limit);
-  const own = near.filter(e => e.zone === zone);
-  return pickOne(own.length > 0 ? own : near, random);
+  return endpoints.filter((_, i) => counts[i]! <= limit);
 }
 
 function pickOne<T>(among: readonly T[], random: () => number): T {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -28,7 +28,7 @@
   servingEndpoints,
 } from '../src/gateway/catalog';
 import {Instant} from '../src/kernel/clock';
-import {pickService} from '../src/gateway/callerserver';
+import {pickService} from '../src/gateway/requestadmission';
 import {ChoiceContext, chooseEndpoint} from '../src/gateway/endpointchoice';
 import {emptyLastSends, isWithinRate} from '../src/gateway/sharedrate';
 import {EventSplitter} from '../src/gateway/eventsplitter';
