boragemill platform explain: where an entry would send a request now

Need: a refused or oddly placed request could only be explained from logs, which do not show the state that decided.

Change: GET /explain at an entry's metrics port runs the decisions of the data path on the present state without changing it and returns JSON: the route, each service with its share, whether a request is sent, waits or is refused and for how long, and for each endpoint the first check that excluded it. nextPlacementStep (placementstep.ts) is now the decision of RequestDispatcher.place; CrashMonitor.partToReject is rejectedPart without its effects. Queries are bounded in size and unknown parameters refused; answers hold at most 200 endpoints, 20 services and no keys; explanations take at most a tenth of the time (429 beyond). The command prints text or JSON; the answer states its format and the release.

--- a/src/cli/platform-command.ts
+++ b/src/cli/platform-command.ts
@@ -1,6 +1,11 @@
 /** The command that starts the programs on the users' platform. */
-import {Command, Option} from 'commander';
-import {PlatformOptions, runPlatform} from './platform';
+import {Command, InvalidArgumentError, Option} from 'commander';
+import {
+  explainPlatform,
+  PlatformExplainOptions,
+  PlatformOptions,
+  runPlatform,
+} from './platform';
 
 function programCommand(
   name: 'entry' | 'sidecar',
@@ -19,6 +24,30 @@
     .action((options: PlatformOptions) => runPlatform(name, options));
 }
 
+function explainCommand(): Command {
+  return new Command('explain')
+    .description('Explains where an entry would send a request now')
+    .exitOverride()
+    .option('--settings <file>', 'settings that the platform has written')
+    .option('--entry <address>', "HOST:PORT of the entry's metrics")
+    .requiredOption('--host <host>', 'host that the caller names')
+    .requiredOption('--path <path>', 'path of the request')
+    .option('--account <name>', 'name of the account, never a key')
+    .option('--deadline-ms <ms>', 'time that the caller waits', parseCount)
+    .option('--prompt-tokens <n>', 'length of the prompt', parseCount)
+    .option('--parts <ids>', 'shared parts of the prompt in order: ID,ID')
+    .option('--json', 'print JSON')
+    .action((options: PlatformExplainOptions) => explainPlatform(options));
+}
+
+/** Parses an option's value as a non-negative integer. */
+function parseCount(text: string): number {
+  if (!/^\d{1,9}$/.test(text)) {
+    throw new InvalidArgumentError('give a whole number');
+  }
+  return Number(text);
+}
+
 export function platformCommand(): Command {
   return new Command('platform')
     .description("The programs on the users' platform")
@@ -26,5 +55,6 @@
     .addCommand(programCommand('entry', 'Serves callers'))
     .addCommand(
       programCommand('sidecar', 'Watches the model endpoint beside it'),
-    );
+    )
+    .addCommand(explainCommand());
 }
--- a/src/cli/platform.ts
+++ b/src/cli/platform.ts
@@ -11,6 +11,7 @@
 import {CommandError, EXIT_CODES} from '../kernel/errors';
 import {Program} from '../kernel/program';
 import {enableLogs, LogLevel, logFor} from '../observe/log';
+import {ExplainOptions, explainRequest} from './explain';
 import {wirePlatformEntry, wirePlatformSidecar} from '../wiring-platform';
 
 export interface PlatformOptions {
@@ -26,15 +27,50 @@
   sidecar: wirePlatformSidecar,
 };
 
-export async function runPlatform(
-  role: 'entry' | 'sidecar',
-  options: PlatformOptions,
-): Promise<void> {
+/** Settings of the program that `--settings` or the environment names. */
+function settingsFile(options: Pick<PlatformOptions, 'settings'>): string {
   const file = options.settings ?? process.env[SETTINGS_VARIABLE];
   if (file === undefined) {
     const message = `no settings; give --settings or set ${SETTINGS_VARIABLE}`;
     throw new CommandError(message, EXIT_CODES.usage);
   }
+  return file;
+}
+
+export interface PlatformExplainOptions extends ExplainOptions {
+  readonly settings?: string;
+  /** Address of an entry's metrics; by default that of the settings file. */
+  readonly entry?: string;
+}
+
+export function explainPlatform(
+  options: PlatformExplainOptions,
+): Promise<void> {
+  const address = options.entry ?? metricsAddress(settingsFile(options));
+  if (!isAddress(address)) {
+    const message = `${address}: give --entry as HOST:PORT`;
+    throw new CommandError(message, EXIT_CODES.usage);
+  }
+  return explainRequest(address, options, line =>
+    process.stdout.write(`${line}\n`),
+  );
+}
+
+function metricsAddress(file: string): string {
+  const {ip, metricsPort} = readDeployment(file);
+  return `${ip}:${metricsPort}`;
+}
+
+function isAddress(text: string): boolean {
+  const port = Number(/^[^:/\s]+:(\d{1,5})$/.exec(text)?.[1]);
+  return port > 0 && port < 65_536;
+}
+
+export async function runPlatform(
+  role: 'entry' | 'sidecar',
+  options: PlatformOptions,
+): Promise<void> {
+  const file = settingsFile(options);
   const deployment = readDeployment(file);
   if (options.check) {
     process.stdout.write(`${file}: settings are valid\n`);
--- a/src/gateway/avoidance.ts
+++ b/src/gateway/avoidance.ts
@@ -39,6 +39,15 @@
   return avoidance.delete(id);
 }
 
+/** Time for which an endpoint is still avoided, in ms; 0 if it is not. */
+export function avoidedForMs(
+  avoidance: Avoidance,
+  id: string,
+  nowMs: number,
+): number {
+  return Math.max(0, (avoidance.get(id)?.untilMs ?? -Infinity) - nowMs);
+}
+
 export function isAvoided(
   avoidance: Avoidance,
   id: string,
--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -10,7 +10,7 @@
 import {Catalog} from './catalog';
 import {IncomingRequest, writeFailure} from './exchange';
 import {HeaderCodec, RequestMetadata} from './headercodec';
-import {admitRequest, pickService} from './requestadmission';
+import {AdmissionState, admitRequest, pickService} from './requestadmission';
 
 export interface CallerServerDependencies {
   readonly headers: HeaderCodec;
@@ -92,6 +92,16 @@
     this.server.keepAliveTimeout = idleMs + IDLE_MARGIN_MS;
   }
 
+  /** The state by which requests are admitted. */
+  admissionState(): AdmissionState {
+    return {
+      catalog: this.deps.catalog(),
+      configurationAgeMs: this.configurationAgeMs(),
+      maxConfigurationAgeMs: this.deps.maxConfigurationAgeMs,
+      stopping: this.closing,
+    };
+  }
+
   private configurationAgeMs(): number {
     return msSince(this.deps.catalog().operatorAsOf, this.deps.clock);
   }
@@ -107,23 +117,15 @@
       this.refuse(req, res, status, reason, retryMs);
     const catalog = this.deps.catalog();
     let metadata: RequestMetadata | undefined;
-    const admission = admitRequest(
-      {
-        catalog,
-        configurationAgeMs: this.configurationAgeMs(),
-        maxConfigurationAgeMs: this.deps.maxConfigurationAgeMs,
-        stopping: this.closing,
+    const admission = admitRequest(this.admissionState(), {
+      host: req.headers.host,
+      target: req.url ?? '',
+      readAccount: () => {
+        metadata = this.deps.headers.readRequest(req.headers);
+        const {key} = metadata;
+        return key === undefined ? undefined : catalog.keys.get(key);
       },
-      {
-        host: req.headers.host,
-        target: req.url ?? '',
-        readAccount: () => {
-          metadata = this.deps.headers.readRequest(req.headers);
-          const {key} = metadata;
-          return key === undefined ? undefined : catalog.keys.get(key);
-        },
-      },
-    );
+    });
     if (admission.kind === 'refuse') {
       const {status, reason, retryAfterMs} = admission;
       return sendRefusal(status, reason, retryAfterMs);
--- a/src/gateway/crashmonitor.ts
+++ b/src/gateway/crashmonitor.ts
@@ -15,6 +15,7 @@
 import {Log} from '../observe/log';
 import {CrashChange, CrashRecord, Endpoint, Prompt} from './model';
 import {
+  Admission,
   addRecord,
   admission,
   emptyQuarantine,
@@ -180,19 +181,32 @@
 
   /**
    * The quarantined part for which a request is rejected; undefined if it is
-   * admitted.
+   * admitted. Uses up a permit, and asks for a trial that is due.
    */
   rejectedPart(prompt: Prompt): string | undefined {
     const nowMs = this.storeMs();
-    if (this.quarantined.size === 0 || nowMs === undefined) return undefined;
-    const decision = admission(this.quarantined, prompt, nowMs);
-    if (decision.kind === 'admit') return undefined;
+    const decision = this.admissionOf(prompt);
+    if (decision.kind === 'admit' || nowMs === undefined) return undefined;
     const {part} = decision;
     if (this.permits.delete(part)) return undefined;
     if (decision.kind === 'trial') void this.requestTrial(part, nowMs);
     return part;
   }
 
+  /** The part for which `rejectedPart` would reject; changes nothing. */
+  partToReject(prompt: Prompt): string | undefined {
+    const decision = this.admissionOf(prompt);
+    if (decision.kind === 'admit') return undefined;
+    return this.permits.has(decision.part) ? undefined : decision.part;
+  }
+
+  private admissionOf(prompt: Prompt): Admission {
+    const nowMs = this.storeMs();
+    if (this.quarantined.size === 0 || nowMs === undefined)
+      return {kind: 'admit'};
+    return admission(this.quarantined, prompt, nowMs);
+  }
+
   /** Clears suspect parts on which this gateway has seen an answer continue. */
   private shareAnswers(parts: Iterable<string>): void {
     let cleared = false;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -24,7 +24,21 @@
   Registration,
   servingEndpoints,
 } from './catalog';
-import {Choice, chooseEndpoint, silentEndpoints} from './endpointchoice';
+import {
+  Choice,
+  ChoiceContext,
+  chooseEndpoint,
+  explainPlacement,
+  silentEndpoints,
+} from './endpointchoice';
+import {
+  DelayRange,
+  EndpointState,
+  explainCandidates,
+  PlacementRequest,
+  ServiceExplanation,
+} from './explanation';
+import {nextPlacementStep, Unavailable} from './placementstep';
 import {CrashMonitor} from './crashmonitor';
 import {
   Dispatcher,
@@ -49,6 +63,7 @@
   longAnswerMs,
   retryDelayMs,
   updateAnswerTime,
+  WaitLimit,
   waitLimit,
 } from './waitlimit';
 import {emptyLastSends, isWithinRate} from './sharedrate';
@@ -64,11 +79,13 @@
   UnavailableEndpoints,
 } from './unavailability';
 import {
+  countBefore,
   countPlaced,
   emptyQueue,
   enqueue,
   nextRequest,
   Queue,
+  QueuedRequest,
   removeRequest,
   takeExpired,
   takeRetryable,
@@ -136,13 +153,6 @@
   none: 'unknown',
 };
 
-/** All endpoints have said that they take no new requests. */
-interface Unavailable {
-  readonly kind: 'unavailable';
-  /** Time until the first of them may get requests again; may be infinite. */
-  readonly forMs: number;
-}
-
 /** Why an endpoint is no longer counted as unavailable. */
 type AvailabilityCause = 'pause over' | 'other process' | 'forgotten';
 
@@ -365,39 +375,118 @@
 
   place(exchange: Exchange): void {
     if (exchange.hasEnded || this.rejectIfQuarantined(exchange)) return;
-    if (!this.canEndBeforeStop(exchange)) return this.refuseForStop(exchange);
-    const {service, route, account, arrivedMs} = exchange.incoming;
+    const {incoming, deadlineMs} = exchange;
+    const {service} = incoming;
+    if (!this.canEndBeforeStop(service, deadlineMs))
+      return this.refuseForStop(exchange);
     const queue = this.queueOf(service);
     const nowMs = this.clock.elapsedMs();
-    const {callerMayRetry, untilMs} = waitLimit({
-      nowMs,
-      deadlineMs: exchange.deadlineMs,
-      route,
-      meanAnswerMs:
-        this.answerTimes.get(service)?.meanMs ?? route.targetLatencyMs,
-    });
+    const limit = this.waitLimitOf({...incoming, deadlineMs}, nowMs);
     const choice = this.chooseFor(exchange);
-    if (choice.kind === 'unavailable') {
-      return this.refuseForNoEndpoint(exchange, choice.forMs);
+    const othersWait = queue.waiting.length > 0;
+    const step = nextPlacementStep(choice, limit, othersWait, nowMs);
+    if (step.kind === 'refuse') {
+      return this.refuseForNoEndpoint(exchange, step.forMs);
     }
-    if (choice.kind === 'none' && (callerMayRetry || untilMs <= nowMs)) {
-      return this.refuseForNoEndpoint(exchange);
-    }
-    if (choice.kind === 'endpoint' && queue.waiting.length === 0) {
+    if (step.kind === 'send' && choice.kind === 'endpoint') {
       return this.send(exchange, choice.endpoint);
     }
-    this.queues.set(
+    const item = queuedRequest(exchange, incoming, limit);
+    this.queues.set(service, enqueue(queue, item));
+    this.scheduleServe();
+  }
+
+  private waitLimitOf(
+    request: Pick<PlacementRequest, 'service' | 'route' | 'deadlineMs'>,
+    nowMs: number,
+  ): WaitLimit {
+    const {service, route, deadlineMs} = request;
+    const meanAnswerMs =
+      this.answerTimes.get(service)?.meanMs ?? route.targetLatencyMs;
+    return waitLimit({nowMs, deadlineMs, route, meanAnswerMs});
+  }
+
+  /**
+   * What `place` would do with a request now, without doing it. `maxCandidates`
+   * bounds the endpoints that are listed.
+   */
+  explain(
+    request: PlacementRequest,
+    maxCandidates: number,
+  ): ServiceExplanation {
+    const nowMs = this.clock.elapsedMs();
+    const {service} = request;
+    const queue = this.queueOf(service);
+    const waiting = queue.waiting.length;
+    const found = this.servingFor(service, nowMs);
+    const explained =
+      found.kind === 'serving'
+        ? explainPlacement(
+            found.endpoints,
+            request.triedEndpoints,
+            this.choiceContext(nowMs, waiting > 0),
+          )
+        : undefined;
+    const candidates = explainCandidates(
       service,
-      enqueue(queue, {
-        request: exchange,
-        account: account?.name ?? '',
-        priority: account?.priority ?? route.priority,
-        arrivedMs,
-        untilMs,
-        callerMayRetry,
-      }),
+      explained,
+      this.endpointState(nowMs),
+      maxCandidates,
     );
-    this.scheduleServe();
+    const base = {service, waiting, ...candidates};
+    const refuse = (reason: string, retryAfterMs?: DelayRange) => ({
+      ...base,
+      decision: 'refuse' as const,
+      status: 503,
+      reason,
+      retryAfterMs,
+    });
+    const part = this.crashes.partToReject(
+      request.parts.map(id => servicePart(service, id)),
+    );
+    if (part !== undefined)
+      return {...refuse('prompt part quarantined'), quarantinedPart: part};
+    if (!this.canEndBeforeStop(service, request.deadlineMs)) {
+      const ms = STOPPING_RETRY_AFTER_MS;
+      return refuse('stopping', {fromMs: ms, toMs: ms});
+    }
+    const limit = this.waitLimitOf(request, nowMs);
+    const choice = found.kind === 'serving' ? explained!.placement : found;
+    const step = nextPlacementStep(choice, limit, waiting > 0, nowMs);
+    if (step.kind === 'refuse') {
+      const delay = (random: number) =>
+        noEndpointDelayMs(request.deadlineMs - nowMs, step.forMs, () => random);
+      const delays = [delay(0), delay(1)];
+      return refuse('no endpoint', {
+        fromMs: Math.round(Math.min(...delays)),
+        toMs: Math.round(Math.max(...delays)),
+      });
+    }
+    if (step.kind === 'send') return {...base, decision: 'send'};
+    const item = queuedRequest(undefined, request, limit);
+    return {
+      ...base,
+      decision: 'wait',
+      reason: step.because,
+      waitMs: Math.max(0, Math.round(limit.untilMs - nowMs)),
+      before: countBefore(queue, item),
+      retryAfterMs: {
+        fromMs: OVERLOAD_RETRY_AFTER_MS,
+        toMs: OVERLOAD_RETRY_AFTER_MS * (1 + RETRY_AFTER_JITTER),
+      },
+    };
+  }
+
+  private endpointState(nowMs: number): EndpointState {
+    const {catalog, loads, avoidance, unavailable} = this;
+    return {
+      catalog,
+      loads,
+      avoidance,
+      unavailable,
+      nowMs,
+      ratePerS: endpoint => this.sharedRatePerS(endpoint, nowMs),
+    };
   }
 
   /**
@@ -415,9 +504,9 @@
     for (const exchange of [...this.active]) this.refuseForStop(exchange);
   }
 
-  private canEndBeforeStop({incoming, deadlineMs}: Exchange): boolean {
+  private canEndBeforeStop(service: string, deadlineMs: number): boolean {
     if (deadlineMs <= this.stopMs) return true;
-    const time = this.answerTimes.get(incoming.service);
+    const time = this.answerTimes.get(service);
     const neededMs = time ? longAnswerMs(time) : 0;
     return this.clock.elapsedMs() + neededMs <= this.stopMs;
   }
@@ -518,30 +607,54 @@
   private chooseFor(exchange: Exchange): Choice | Unavailable {
     const nowMs = this.clock.elapsedMs();
     const {service} = exchange.incoming;
+    const found = this.servingFor(service, nowMs);
+    if (found.kind === 'unavailable') return found;
+    const hasBacklog = this.queueOf(service).waiting.some(
+      ({request}) => request !== exchange,
+    );
+    return chooseEndpoint(
+      found.endpoints,
+      exchange.triedEndpoints,
+      this.choiceContext(nowMs, hasBacklog),
+    );
+  }
+
+  /** The endpoints that serve, unless all of them are unavailable. */
+  private servingFor(
+    service: string,
+    nowMs: number,
+  ):
+    | {
+        readonly kind: 'serving';
+        readonly endpoints: readonly Registration[];
+      }
+    | Unavailable {
     const {catalog, unavailable} = this;
-    const serving = servingEndpoints(
+    const endpoints = servingEndpoints(
       catalog,
       service,
       nowMs,
       id => !isUnavailable(unavailable, id, nowMs),
     );
-    if (serving.length === 0 && !unavailable.isEmpty()) {
+    if (endpoints.length === 0 && !unavailable.isEmpty()) {
       const all = servingEndpoints(catalog, service, nowMs);
       const ends = all.map(e => unavailable.get(e.id)?.untilMs ?? Infinity);
       const forMs = Math.min(...ends) - nowMs;
       if (all.length > 0) return {kind: 'unavailable', forMs};
     }
-    return chooseEndpoint(serving, exchange.triedEndpoints, {
+    return {kind: 'serving', endpoints};
+  }
+
+  private choiceContext(nowMs: number, hasBacklog: boolean): ChoiceContext {
+    return {
       loads: this.loads,
       avoidance: this.avoidance,
       zone: this.settings.zone,
       nowMs,
       random: this.random,
       withinRate: endpoint => this.withinRate(endpoint, nowMs),
-      hasBacklog: this.queueOf(service).waiting.some(
-        ({request}) => request !== exchange,
-      ),
-    });
+      hasBacklog,
+    };
   }
 
   private send(exchange: Exchange, endpoint: Registration): void {
@@ -557,7 +670,22 @@
 
   /** Applies the rates of cold and limited endpoints, which gateways share. */
   private withinRate(endpoint: Registration, nowMs: number): boolean {
-    const {id, coldUntilMs, service} = endpoint;
+    const requestsPerS = this.sharedRatePerS(endpoint, nowMs);
+    if (requestsPerS === undefined) return true;
+    const {id} = endpoint;
+    const rate = {
+      requestsPerS,
+      gateways: this.gateways.count,
+      phase: this.phases.get(id) ?? 0,
+    };
+    return isWithinRate(this.lastSends, id, rate, nowMs);
+  }
+
+  /** The rate of a cold or limited endpoint; undefined if it is neither. */
+  private sharedRatePerS(
+    {id, coldUntilMs, service}: Registration,
+    nowMs: number,
+  ): number | undefined {
     const coldPerS = this.catalog.services.get(service)?.coldRequestsPerS ?? 0;
     const rates: number[] = [];
     if (coldUntilMs > nowMs && coldPerS > 0) {
@@ -565,13 +693,7 @@
     }
     const limitPerS = this.limitsPerS.get(id);
     if (limitPerS !== undefined) rates.push(limitPerS);
-    if (rates.length === 0) return true;
-    const rate = {
-      requestsPerS: Math.min(...rates),
-      gateways: this.gateways.count,
-      phase: this.phases.get(id) ?? 0,
-    };
-    return isWithinRate(this.lastSends, id, rate, nowMs);
+    return rates.length === 0 ? undefined : Math.min(...rates);
   }
 
   private queueOf(service: string): Queue<Exchange> {
@@ -648,7 +770,8 @@
       request.refuse('overload', this.addJitter(OVERLOAD_RETRY_AFTER_MS));
     }
     for (const {request} of queue.waiting) {
-      if (!this.canEndBeforeStop(request)) this.refuseForStop(request);
+      if (!this.canEndBeforeStop(service, request.deadlineMs))
+        this.refuseForStop(request);
     }
     for (;;) {
       const next = nextRequest(this.queueOf(service));
@@ -689,12 +812,11 @@
 
   private noEndpointDelayMs(exchange: Exchange, forMs = Infinity): number {
     const leftMs = exchange.deadlineMs - this.clock.elapsedMs();
-    const delayMs = retryDelayMs(leftMs, this.random);
-    return Math.min(delayMs, this.addJitter(forMs));
+    return noEndpointDelayMs(leftMs, forMs, this.random);
   }
 
   private addJitter(ms: number): number {
-    return ms * (1 + RETRY_AFTER_JITTER * this.random());
+    return addJitter(ms, this.random);
   }
 
   /** Has no floor, because floors add up with the number of gateways. */
@@ -704,9 +826,45 @@
   }
 }
 
+function addJitter(ms: number, random: () => number): number {
+  return ms * (1 + RETRY_AFTER_JITTER * random());
+}
+
+function noEndpointDelayMs(
+  leftMs: number,
+  forMs: number,
+  random: () => number,
+): number {
+  const delayMs = retryDelayMs(leftMs, random);
+  return Math.min(delayMs, addJitter(forMs, random));
+}
+
+function queuedRequest<T>(
+  request: T,
+  {
+    account,
+    route,
+    arrivedMs,
+  }: Pick<PlacementRequest, 'account' | 'route' | 'arrivedMs'>,
+  {untilMs, callerMayRetry}: WaitLimit,
+): QueuedRequest<T> {
+  return {
+    request,
+    account: account?.name ?? '',
+    priority: account?.priority ?? route.priority,
+    arrivedMs,
+    untilMs,
+    callerMayRetry,
+  };
+}
+
 /** Services have different endpoints, so their parts are told apart. */
+function servicePart(service: string, part: string): string {
+  return `${service}/${part}`;
+}
+
 function promptOf({incoming: {service, metadata}}: Exchange): Prompt {
-  return metadata.sharedParts.map(part => `${service}/${part}`);
+  return metadata.sharedParts.map(part => servicePart(service, part));
 }
 
 /** The state of a registration as it is logged. */
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -113,6 +113,20 @@
   return loads.get(id, UNKNOWN_LOAD).allowance >= 1;
 }
 
+/**
+ * Requests that this gateway may send to the endpoint until its next report;
+ * undefined if no fresh report limits them.
+ */
+export function shareOf(
+  loads: Loads,
+  id: string,
+  nowMs: number,
+): number | undefined {
+  if (!hasFreshReport(loads, id, nowMs)) return undefined;
+  const {allowance} = loads.get(id, UNKNOWN_LOAD);
+  return allowance === Infinity ? undefined : allowance;
+}
+
 /** What a gateway assumed about an endpoint's load when it sent a request. */
 export interface LoadEstimate {
   readonly requests: number;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -126,6 +126,15 @@
 /** Time kept for the return of the answer from the endpoint, in ms. */
 const RETURN_MARGIN_MS = 5;
 
+/** Monotonic time by which a request that arrived then must be answered. */
+export function requestDeadlineMs(
+  {timeoutMs}: Pick<Route, 'timeoutMs'>,
+  {deadlineMs = Infinity}: Pick<RequestMetadata, 'deadlineMs'>,
+  arrivedMs: number,
+): number {
+  return arrivedMs + Math.min(timeoutMs, deadlineMs);
+}
+
 export class Exchange {
   readonly deadlineMs: number;
   readonly triedEndpoints = new Set<string>();
@@ -155,8 +164,7 @@
     private readonly deps: ExchangeDependencies,
   ) {
     const {route, metadata, arrivedMs, res} = incoming;
-    const limitMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? Infinity);
-    this.deadlineMs = arrivedMs + limitMs;
+    this.deadlineMs = requestDeadlineMs(route, metadata, arrivedMs);
     this.attempts = newAttemptState(
       route.kind,
       route.resumable,
--- a/src/gateway/queue.ts
+++ b/src/gateway/queue.ts
@@ -73,6 +73,14 @@
   return best;
 }
 
+/** Number of waiting requests that are served before the given one. */
+export function countBefore<T>(
+  queue: Queue<T>,
+  item: QueuedRequest<unknown>,
+): number {
+  return queue.waiting.filter(w => goesBefore(queue, w, item)).length;
+}
+
 /** Removes and returns the requests whose time to wait is over. */
 export function takeExpired<T>(
   queue: Queue<T>,
@@ -96,8 +104,8 @@
 
 function goesBefore<T>(
   queue: Queue<T>,
-  a: QueuedRequest<T>,
-  b: QueuedRequest<T>,
+  a: QueuedRequest<unknown>,
+  b: QueuedRequest<unknown>,
 ): boolean {
   if (a.priority !== b.priority) return a.priority < b.priority;
   if (a.callerMayRetry !== b.callerMayRetry) return a.callerMayRetry;
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -17,7 +17,16 @@
 } from './gateway/catalog';
 import {CrashMonitor} from './gateway/crashmonitor';
 import {RequestDispatcher} from './gateway/dispatcher';
-import {Exchange} from './gateway/exchange';
+import {Exchange, requestDeadlineMs} from './gateway/exchange';
+import {ExplainHandler} from './gateway/explainhandler';
+import {
+  EXPLAIN_PATH,
+  Explanation,
+  EXPLANATION_FORMAT,
+  explainRoute,
+  RequestDescription,
+} from './gateway/explanation';
+import {admitRequest} from './gateway/requestadmission';
 import {CallerServer} from './gateway/callerserver';
 import {
   EndpointHost,
@@ -34,6 +43,7 @@
 import {MetricsRegistry} from './observe/prometheus';
 import {Log, logFor} from './observe/log';
 import {Program} from './kernel/program';
+import {version} from './kernel/version';
 import {MAP_PATH, RankAgent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
 import {PassObserver, PassTarget} from './ranks/passobserver';
@@ -253,7 +263,16 @@
   const readiness: http.Server = createReadinessServer(() =>
     callerServer.isReady(),
   );
-  const metrics = createMetricsServer(registry);
+  const explain = (request: RequestDescription) =>
+    explainRequest(request, deployment, {
+      dispatcher,
+      callerServer,
+      clock,
+    });
+  const metrics = createMetricsServer(
+    registry,
+    new ExplainHandler({explain, clock}),
+  );
   registry.registerGauge(
     'boragemill_requests_in_flight',
     () => dispatcher.inFlight,
@@ -521,8 +540,63 @@
   return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
 
-function createMetricsServer(registry: MetricsRegistry): http.Server {
-  return http.createServer((req, res) => registry.handle(req, res));
+function createMetricsServer(
+  registry: MetricsRegistry,
+  explanations?: ExplainHandler,
+): http.Server {
+  return http.createServer((req, res) => {
+    const [path] = (req.url ?? '').split('?', 1);
+    if (path === EXPLAIN_PATH && explanations) explanations.handle(req, res);
+    else registry.handle(req, res);
+  });
+}
+
+/** Runs the decisions of the data path for a request that is not sent. */
+function explainRequest(
+  request: RequestDescription,
+  {instance, zone}: Deployment,
+  parts: {
+    readonly dispatcher: RequestDispatcher;
+    readonly callerServer: CallerServer;
+    readonly clock: Clock;
+  },
+): Explanation | {readonly kind: 'unknown account'} {
+  const {dispatcher, callerServer, clock} = parts;
+  const catalog = dispatcher.currentCatalog();
+  const {configuration, operatorAsOf} = catalog;
+  const account = configuration?.accounts.find(a => a.name === request.account);
+  if (configuration && request.account !== undefined && !account)
+    return {kind: 'unknown account'};
+  const admission = admitRequest(callerServer.admissionState(), {
+    host: request.host,
+    target: request.path,
+    readAccount: () => account,
+  });
+  const arrivedMs = clock.elapsedMs();
+  const ageMs = Math.round(msSince(operatorAsOf, clock));
+  return {
+    format: EXPLANATION_FORMAT,
+    version,
+    entry: instance,
+    zone,
+    configuration: configuration?.version,
+    configurationAgeMs: configuration ? ageMs : undefined,
+    request,
+    ...explainRoute(admission, (service, route, maxCandidates) =>
+      dispatcher.explain(
+        {
+          service,
+          route,
+          account,
+          arrivedMs,
+          deadlineMs: requestDeadlineMs(route, request, arrivedMs),
+          triedEndpoints: new Set(),
+          parts: request.parts,
+        },
+        maxCandidates,
+      ),
+    ),
+  };
 }
 
 /** Logs a failure to listen; callers are served without metrics too. */
