Prefer endpoints that hold the beginning of a prompt, where that is worth it

Need: many requests begin with the same parts, and an endpoint that still holds them sends its first event sooner, but only while it has room.

The dispatcher's setting cachedPrompts selects it; without it the choice is as before. An explanation shows the belief and the estimate.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -212,6 +212,9 @@
       ? []
       : [`${c.ratePerS.toFixed(2)} requests/s of all entries`]),
     ...(c.slow ? ['slow'] : []),
+    ...(c.heldTokens === undefined
+      ? []
+      : [`holds ${c.heldTokens} tokens, first event in ${c.firstEventMs} ms`]),
   ];
   const mark = c.eligible ? '*' : '-';
   const why = c.excludedBy === undefined ? '' : `; not used: ${c.excludedBy}`;
--- a/src/cli/platform-command.ts
+++ b/src/cli/platform-command.ts
@@ -35,7 +35,10 @@
     .option('--account <name>', 'name of the account, never a key')
     .option('--deadline-ms <ms>', 'time that the caller waits', parseCount)
     .option('--prompt-tokens <n>', 'length of the prompt', parseCount)
-    .option('--parts <ids>', 'shared parts of the prompt in order: ID,ID')
+    .option(
+      '--parts <ids>',
+      'shared parts of the prompt in order: ID:TOKENS,ID:TOKENS',
+    )
     .option('--json', 'print JSON')
     .action((options: PlatformExplainOptions) => explainPlatform(options));
 }
--- a/src/gateway/datagrams.ts
+++ b/src/gateway/datagrams.ts
@@ -19,6 +19,7 @@
     running: z.number().min(0),
     queued: z.number().min(0),
     group: z.string(),
+    epoch: z.number().optional(),
     open: z.boolean(),
     pace: z.number().positive(),
     gateways: z.number().int().min(0),
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -29,6 +29,7 @@
   ChoiceContext,
   chooseEndpoint,
   explainPlacement,
+  PromptPreference,
   silentEndpoints,
 } from './endpointchoice';
 import {
@@ -38,6 +39,15 @@
   PlacementRequest,
   ServiceExplanation,
 } from './explanation';
+import {
+  emptyPromptCache,
+  heldTokens,
+  Holder,
+  possibleHolders,
+  PromptPart,
+  recordEnded,
+  recordSent,
+} from './promptcache';
 import {nextPlacementStep, Unavailable} from './placementstep';
 import {CrashMonitor} from './crashmonitor';
 import {
@@ -51,6 +61,7 @@
   countFinished,
   countSent,
   emptyLoads,
+  groupEpoch,
   isGroupOpen,
   loadEstimate,
   Loads,
@@ -97,6 +108,12 @@
   readonly retryRatio: number;
   /** Length of the window over which retries are counted. */
   readonly retryWindowMs: number;
+  /**
+   * Whether endpoints are chosen by the prompts that they hold, and for how long
+   * they are believed to keep one after its request: 0 for engines that keep
+   * none. Absent: cached prompts do not matter.
+   */
+  readonly cachedPrompts?: {readonly keptMs: number};
 }
 
 /** Interval at which waiting requests are served again, in milliseconds. */
@@ -171,6 +188,7 @@
   private readonly phases = new Map<string, number>();
   /** Limits that endpoints have named, in requests per second, by id. */
   private readonly limitsPerS = new Map<string, number>();
+  private promptCache = emptyPromptCache;
   private unavailable = noUnavailableEndpoints;
   private pauseTimer: Timer | undefined;
   private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
@@ -419,18 +437,27 @@
     const queue = this.queueOf(service);
     const waiting = queue.waiting.length;
     const found = this.servingFor(service, nowMs);
+    const preference = this.promptPreference(
+      service,
+      request.parts.map(({id, tokens}) => ({
+        id: servicePart(service, id),
+        tokens,
+      })),
+      request.promptTokens,
+      nowMs,
+    );
     const explained =
       found.kind === 'serving'
         ? explainPlacement(
             found.endpoints,
             request.triedEndpoints,
-            this.choiceContext(nowMs, waiting > 0),
+            this.choiceContext(nowMs, waiting > 0, preference),
           )
         : undefined;
     const candidates = explainCandidates(
       service,
       explained,
-      this.endpointState(nowMs),
+      this.endpointState(nowMs, preference),
       maxCandidates,
     );
     const base = {service, waiting, ...candidates};
@@ -442,7 +469,7 @@
       retryAfterMs,
     });
     const part = this.crashes.partToReject(
-      request.parts.map(id => servicePart(service, id)),
+      request.parts.map(({id}) => servicePart(service, id)),
     );
     if (part !== undefined)
       return {...refuse('prompt part quarantined'), quarantinedPart: part};
@@ -477,7 +504,10 @@
     };
   }
 
-  private endpointState(nowMs: number): EndpointState {
+  private endpointState(
+    nowMs: number,
+    preference: PromptPreference | undefined,
+  ): EndpointState {
     const {catalog, loads, avoidance, unavailable} = this;
     return {
       catalog,
@@ -486,6 +516,7 @@
       unavailable,
       nowMs,
       ratePerS: endpoint => this.sharedRatePerS(endpoint, nowMs),
+      prompt: preference,
     };
   }
 
@@ -522,6 +553,19 @@
   ): void {
     this.loads = countFinished(this.loads, endpoint, SLOT_CHANGES[evidence]);
     const nowMs = this.clock.elapsedMs();
+    const {cachedPrompts} = this.settings;
+    if (cachedPrompts) {
+      const hasRun = evidence === 'works' || evidence === 'none';
+      const isKept = hasRun && cachedPrompts.keptMs > 0;
+      const parts = partsOf(exchange);
+      this.promptCache = recordEnded(
+        this.promptCache,
+        endpoint,
+        parts,
+        isKept,
+        nowMs,
+      );
+    }
     if (evidence === 'works' || evidence === 'rejects') {
       this.avoidance = clearFailures(this.avoidance, endpoint);
     } else if (evidence === 'fails' || evidence === 'disconnected') {
@@ -615,10 +659,51 @@
     return chooseEndpoint(
       found.endpoints,
       exchange.triedEndpoints,
-      this.choiceContext(nowMs, hasBacklog),
+      this.choiceContext(
+        nowMs,
+        hasBacklog,
+        this.promptPreference(
+          service,
+          partsOf(exchange),
+          exchange.incoming.metadata.promptTokens,
+          nowMs,
+        ),
+      ),
     );
   }
 
+  /** Undefined for requests and services to which it does not apply. */
+  private promptPreference(
+    service: string,
+    parts: readonly PromptPart[],
+    promptTokens: number | undefined,
+    nowMs: number,
+  ): PromptPreference | undefined {
+    const {cachedPrompts} = this.settings;
+    if (!cachedPrompts || parts.length === 0) return undefined;
+    const engine = this.catalog.services.get(service)?.engine;
+    if (engine?.readTokensPerS === undefined) return undefined;
+    const cache = this.promptCache;
+    return {
+      engine,
+      promptTokens: promptTokens ?? parts.reduce((n, p) => n + p.tokens, 0),
+      holders: possibleHolders(cache, parts),
+      heldTokens: endpoint =>
+        heldTokens(
+          cache,
+          this.holderOf(endpoint),
+          parts,
+          cachedPrompts.keptMs,
+          nowMs,
+        ),
+    };
+  }
+
+  private holderOf({id, address, startedMs}: Registration): Holder {
+    const epoch = groupEpoch(this.loads, id);
+    return {id, process: `${address} ${startedMs ?? ''} ${epoch}`};
+  }
+
   /** The endpoints that serve, unless all of them are unavailable. */
   private servingFor(
     service: string,
@@ -645,7 +730,11 @@
     return {kind: 'serving', endpoints};
   }
 
-  private choiceContext(nowMs: number, hasBacklog: boolean): ChoiceContext {
+  private choiceContext(
+    nowMs: number,
+    hasBacklog: boolean,
+    prompt: PromptPreference | undefined,
+  ): ChoiceContext {
     return {
       loads: this.loads,
       avoidance: this.avoidance,
@@ -654,6 +743,7 @@
       random: this.random,
       withinRate: endpoint => this.withinRate(endpoint, nowMs),
       hasBacklog,
+      prompt,
     };
   }
 
@@ -662,6 +752,14 @@
     const nowMs = this.clock.elapsedMs();
     const estimate = loadEstimate(this.loads, endpoint.id, nowMs);
     this.loads = countSent(this.loads, endpoint.id);
+    if (this.settings.cachedPrompts) {
+      this.promptCache = recordSent(
+        this.promptCache,
+        this.holderOf(endpoint),
+        partsOf(exchange),
+        nowMs,
+      );
+    }
     const queue = this.queueOf(service);
     this.queues.set(service, countPlaced(queue, account?.name ?? '', nowMs));
     this.lastSends = this.lastSends.set(endpoint.id, nowMs);
@@ -863,6 +961,15 @@
   return `${service}/${part}`;
 }
 
+function partsOf({
+  incoming: {service, metadata},
+}: Exchange): readonly PromptPart[] {
+  return metadata.sharedParts.map((part, i) => ({
+    id: servicePart(service, part),
+    tokens: metadata.sharedTokens[i]!,
+  }));
+}
+
 function promptOf({incoming: {service, metadata}}: Exchange): Prompt {
   return metadata.sharedParts.map(part => servicePart(service, part));
 }
--- a/src/gateway/endpointchoice.ts
+++ b/src/gateway/endpointchoice.ts
@@ -25,6 +25,8 @@
  */
 import {Avoidance, isAvoided} from './avoidance';
 import {Registration} from './catalog';
+import {firstEventMs, readMs, slowingMs} from './firsteventestimate';
+import {EngineSpec} from './model';
 import {
   capacity,
   estimatedRequests,
@@ -47,6 +49,18 @@
   readonly withinRate: (endpoint: Registration) => boolean;
   /** Whether other requests for the service wait at this gateway. */
   readonly hasBacklog: boolean;
+  /** Absent if cached prompts do not matter for the request. */
+  readonly prompt?: PromptPreference;
+}
+
+/** What decides on an endpoint by what it holds of the request's prompt. */
+export interface PromptPreference {
+  readonly engine: EngineSpec;
+  readonly promptTokens: number;
+  /** Ids of the endpoints that may hold a part of it. */
+  readonly holders: {has(id: string): boolean; readonly size: number};
+  /** Tokens of the prompt that the endpoint is believed to hold. */
+  readonly heldTokens: (endpoint: Registration) => number;
 }
 
 export type Choice =
@@ -74,7 +88,9 @@
   | 'no share'
   | 'no room without a share'
   | 'more loaded'
-  | 'other zone';
+  | 'other zone'
+  /** Another holds more of the prompt, and that is worth its load. */
+  | 'later first event';
 
 /**
  * A step of the choice: those that are left, and why the others are not. Each
@@ -176,8 +192,18 @@
   const allowed = available.filter(e => hasAllowance(loads, e.id, nowMs));
   if (allowed.length > 0) {
     step('no share', allowed);
-    const near = step('more loaded', leastLoaded(allowed, context));
+    const counts = allowed.map(e => estimatedRequests(loads, e.id, nowMs));
+    const least = Math.min(...counts);
+    const limit = least + NEARLY_EQUAL_REQUESTS;
+    const near = allowed.filter((_, i) => counts[i]! <= limit);
     const own = near.filter(e => e.zone === context.zone);
+    const zone = own.length > 0 ? context.zone : undefined;
+    const holders = worthwhileHolders(allowed, counts, zone, context.prompt);
+    if (holders.length > 0) {
+      step('later first event', holders);
+      return end({kind: 'endpoint', among: holders});
+    }
+    step('more loaded', near);
     const among = own.length > 0 ? step('other zone', own) : near;
     return end({kind: 'endpoint', among});
   }
@@ -223,14 +249,51 @@
   return new Set(silent.map(e => e.id));
 }
 
-/** The endpoints with nearly the lowest load. */
-function leastLoaded(
-  endpoints: readonly Registration[],
-  {loads, nowMs}: ChoiceContext,
+/** Differences of estimates below this are noise, in ms. */
+const EQUAL_ESTIMATE_MS = 1;
+
+/**
+ * The endpoints with the earliest first event among those that hold a part of
+ * the prompt. One that is not nearly least loaded counts only if reading less
+ * saves more time than its load costs all streams there, so that a popular
+ * beginning is spread as its endpoints fill. Zones matter as for other requests.
+ */
+function worthwhileHolders(
+  allowed: readonly Registration[],
+  /** Requests at each of them. */
+  counts: readonly number[],
+  /** Zone to stay in; undefined if all may be used. */
+  zone: string | undefined,
+  prompt: PromptPreference | undefined,
 ): readonly Registration[] {
-  const counts = endpoints.map(e => estimatedRequests(loads, e.id, nowMs));
-  const limit = Math.min(...counts) + NEARLY_EQUAL_REQUESTS;
-  return endpoints.filter((_, i) => counts[i]! <= limit);
+  if (!prompt || prompt.holders.size === 0) return [];
+  const {engine, promptTokens} = prompt;
+  const least = Math.min(...counts);
+  const worthwhile: {
+    readonly endpoint: Registration;
+    readonly ms: number;
+  }[] = [];
+  allowed.forEach((endpoint, i) => {
+    if (!prompt.holders.has(endpoint.id)) return;
+    if (zone !== undefined && endpoint.zone !== zone) return;
+    const requests = counts[i]!;
+    const held = Math.min(
+      prompt.heldTokens(endpoint),
+      promptTokens,
+      engine.memoryTokens,
+    );
+    if (held === 0) return;
+    const isNear = requests <= least + NEARLY_EQUAL_REQUESTS;
+    const savedMs = readMs(engine, held);
+    if (!isNear && savedMs <= slowingMs(engine, requests, least)) return;
+    const ms = firstEventMs(engine, requests, promptTokens - held);
+    worthwhile.push({endpoint, ms});
+  });
+  const bestMs = worthwhile.reduce((ms, w) => Math.min(ms, w.ms), Infinity);
+  if (bestMs >= firstEventMs(engine, least, promptTokens)) return [];
+  return worthwhile
+    .filter(w => w.ms <= bestMs + EQUAL_ESTIMATE_MS)
+    .map(w => w.endpoint);
 }
 
 function pickOne<T>(among: readonly T[], random: () => number): T {
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -23,6 +23,8 @@
   readonly others: number;
   /** Group of ranks at the last report; undefined before the first. */
   readonly group: string | undefined;
+  /** Epoch of the group at the last report; undefined if unknown. */
+  readonly epoch: number | undefined;
   /** False if the group was broken at the last report. */
   readonly open: boolean;
   readonly pace: number;
@@ -49,6 +51,7 @@
   own: 0,
   others: 0,
   group: undefined,
+  epoch: undefined,
   open: true,
   pace: 1,
   reportedMs: -Infinity,
@@ -94,11 +97,12 @@
 ): Loads {
   const {own} = loads.get(report.id, UNKNOWN_LOAD);
   const others = Math.max(0, report.running + report.queued - own);
-  const {group, open, pace, requestLimit = Infinity} = report;
+  const {group, epoch, open, pace, requestLimit = Infinity} = report;
   return loads.set(report.id, {
     own,
     others,
     group,
+    epoch,
     open,
     pace,
     reportedMs: nowMs,
@@ -127,6 +131,12 @@
   return allowance === Infinity ? undefined : allowance;
 }
 
+/** Names the group of an endpoint and its epoch, as last reported. */
+export function groupEpoch(loads: Loads, id: string): string {
+  const {group, epoch} = loads.get(id, UNKNOWN_LOAD);
+  return `${group ?? ''} ${epoch ?? ''}`;
+}
+
 /** What a gateway assumed about an endpoint's load when it sent a request. */
 export interface LoadEstimate {
   readonly requests: number;
--- a/src/gateway/explainhandler.ts
+++ b/src/gateway/explainhandler.ts
@@ -31,6 +31,7 @@
 /** The data path reads as many parts of a prompt, and ids of that length. */
 const MAX_PARTS = 16;
 const MAX_PART_CHARACTERS = 64;
+const MAX_PART_TOKENS = 1_000_000;
 
 /** After an explanation the next may begin when this many times as long is over. */
 const PAUSE_FACTOR = 9;
@@ -41,6 +42,20 @@
   .transform(Number)
   .refine(n => n <= MAX_NUMBER, 'too large');
 
+const partSchema = z.object({
+  id: z.string().min(1).max(MAX_PART_CHARACTERS),
+  tokens: z.number().int().min(0).max(MAX_PART_TOKENS),
+});
+
+/** Reads `ID` or `ID:TOKENS`. */
+function parsePart(text: string): {
+  readonly id: string;
+  readonly tokens: number;
+} {
+  const [id = '', tokens = '0'] = text.split(':');
+  return {id, tokens: Number(tokens)};
+}
+
 const schema = z.strictObject({
   host: z.string().min(1).max(MAX_HOST_CHARACTERS),
   path: z.string().startsWith('/').max(MAX_PATH_CHARACTERS),
@@ -49,8 +64,8 @@
   'prompt-tokens': number.optional(),
   parts: z
     .string()
-    .transform(text => text.split(','))
-    .pipe(z.array(z.string().min(1).max(MAX_PART_CHARACTERS)).max(MAX_PARTS))
+    .transform(text => text.split(',').map(parsePart))
+    .pipe(z.array(partSchema).max(MAX_PARTS))
     .optional(),
 });
 
--- a/src/gateway/explanation.ts
+++ b/src/gateway/explanation.ts
@@ -13,7 +13,13 @@
   Registration,
   registrationState,
 } from './catalog';
-import {Exclusion, ExplainedPlacement} from './endpointchoice';
+import {
+  Exclusion,
+  ExplainedPlacement,
+  PromptPreference,
+} from './endpointchoice';
+import {firstEventMs} from './firsteventestimate';
+import {PromptPart} from './promptcache';
 import {capacity, isSlow, loadEstimate, Loads, shareOf} from './endpointload';
 import {Account, Route} from './model';
 import {RequestAdmission, weightedServices} from './requestadmission';
@@ -34,8 +40,8 @@
   /** Time for which the caller waits. */
   readonly deadlineMs: number | undefined;
   readonly promptTokens: number | undefined;
-  /** Ids of the prompt's shared parts, in order. */
-  readonly parts: readonly string[];
+  /** The prompt's shared parts, in order. */
+  readonly parts: readonly PromptPart[];
 }
 
 /** A placement without an exchange. */
@@ -47,7 +53,8 @@
   readonly deadlineMs: number;
   readonly arrivedMs: number;
   readonly triedEndpoints: ReadonlySet<string>;
-  readonly parts: readonly string[];
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number | undefined;
 }
 
 export interface DelayRange {
@@ -74,6 +81,10 @@
   /** Rate that gateways share, if it is cold or has named a limit. */
   readonly ratePerS?: number;
   readonly slow?: true;
+  /** Tokens of the prompt that it is believed to hold. */
+  readonly heldTokens?: number;
+  /** Estimated time to the first event, where prompts matter. */
+  readonly firstEventMs?: number;
 }
 
 export interface ServiceExplanation {
@@ -162,6 +173,7 @@
   readonly nowMs: number;
   /** Rate that applies to the endpoint; undefined if none does. */
   readonly ratePerS: (endpoint: Registration) => number | undefined;
+  readonly prompt: PromptPreference | undefined;
 }
 
 /** All registered endpoints of a service, the eligible ones first. */
@@ -232,5 +244,16 @@
     coldForMs: coldMs > 0 ? Math.round(coldMs) : undefined,
     ratePerS: state.ratePerS(endpoint),
     slow: isSlow(loads, id, nowMs) ? true : undefined,
+    ...(state.prompt ? promptFacts(endpoint, requests, state.prompt) : {}),
   };
 }
+
+function promptFacts(
+  endpoint: Registration,
+  requests: number,
+  {engine, promptTokens, heldTokens}: PromptPreference,
+): Pick<CandidateExplanation, 'heldTokens' | 'firstEventMs'> {
+  const held = heldTokens(endpoint);
+  const ms = firstEventMs(engine, requests, promptTokens - held);
+  return {heldTokens: held, firstEventMs: Math.round(ms)};
+}
--- a/src/gateway/headercodec.ts
+++ b/src/gateway/headercodec.ts
@@ -18,6 +18,8 @@
   readonly promptTokens: number | undefined;
   /** Ids of the prompt's parts that other requests may share, in order. */
   readonly sharedParts: readonly string[];
+  /** Tokens of each of these parts; 0 where the caller does not say. */
+  readonly sharedTokens: readonly number[];
   /** Expected length of the answer, in tokens. */
   readonly answerTokens: number | undefined;
 }
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -23,6 +23,8 @@
   readonly running: number;
   readonly queued: number;
   readonly group: string;
+  /** Epoch of the group; absent if unknown. */
+  readonly epoch?: number;
   readonly open: boolean;
   readonly pace: number;
   /** Number of gateways that receive this report. */
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -50,6 +50,8 @@
   readonly stepMs: number;
   /** Time added to a step for each running request. */
   readonly perRequestMs: number;
+  /** Tokens of a prompt that it reads per second; absent if not declared. */
+  readonly readTokensPerS?: number;
   /** Size of the KV cache for the contexts of requests, in tokens. */
   readonly memoryTokens: number;
   readonly experts: ExpertSpec | undefined;
@@ -155,6 +157,8 @@
   readonly queued: number;
   /** The group of ranks that the endpoint belongs to. */
   readonly group: string;
+  /** Increases when the group forms again; absent if unknown. */
+  readonly epoch?: number;
   /** False while the group is broken. */
   readonly open: boolean;
   /** Its time for the same work, divided by that of a healthy endpoint. */
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -121,6 +121,8 @@
       zone,
       retryRatio: bounds.retryRatio,
       retryWindowMs: bounds.retryWindowMs,
+      // The platform's engines keep no prompt after its request.
+      cachedPrompts: {keptMs: 0},
     },
     clock,
     Math.random,
@@ -506,8 +508,8 @@
         agent.report().then(
           report => {
             passes.handleReport(report);
-            const {running, queued, group, open, pace} = report;
-            const load = {running, queued, group, open, pace};
+            const {running, queued, group, epoch, open, pace} = report;
+            const load = {running, queued, group, epoch, open, pace};
             publisher.publish({
               address: endpoint,
               ...load,
@@ -592,6 +594,7 @@
           deadlineMs: requestDeadlineMs(route, request, arrivedMs),
           triedEndpoints: new Set(),
           parts: request.parts,
+          promptTokens: request.promptTokens,
         },
         maxCandidates,
       ),
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -6,7 +6,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {VirtualClock} from '../bench/support/virtualclock';
 import {CrashMonitor} from '../src/gateway/crashmonitor';
-import {RequestDispatcher} from '../src/gateway/dispatcher';
+import {DispatcherSettings, RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
 import {Clock, Timer} from '../src/kernel/clock';
 import {Log} from '../src/observe/log';
@@ -40,10 +40,16 @@
   readonly clock: Clock;
   readonly random: () => number;
   readonly log?: Log;
+  readonly cachedPrompts?: DispatcherSettings['cachedPrompts'];
 }): RequestDispatcher {
   const {instance, zone, clock, random, log = () => undefined} = gateway;
   return new RequestDispatcher(
-    {zone, retryRatio: RETRY_RATIO, retryWindowMs: RETRY_WINDOW_MS},
+    {
+      zone,
+      retryRatio: RETRY_RATIO,
+      retryWindowMs: RETRY_WINDOW_MS,
+      cachedPrompts: gateway.cachedPrompts,
+    },
     clock,
     random,
     log,
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -358,7 +358,8 @@
         arrivedMs: nowMs,
         deadlineMs: nowMs + leftMs,
         triedEndpoints: new Set(),
-        parts: ['p'],
+        parts: [{id: 'p', tokens: 0}],
+        promptTokens: undefined,
       },
       10,
     );
@@ -373,7 +374,7 @@
         route: ROUTE,
         account: undefined,
         arrivedMs: nowMs,
-        metadata: {requestId: '', sharedParts: ['p']},
+        metadata: {requestId: '', sharedParts: ['p'], sharedTokens: [0]},
       },
       deadlineMs: nowMs + leftMs,
       triedEndpoints: new Set<string>(),
