Test of how a dispatcher's beliefs about prompts end

Need: the pure functions compare names of processes; nothing showed that the dispatcher forms other names after a restart, another address or another epoch of the group, or that a refused request leaves no belief.

--- a/test/promptcache.test.ts
+++ b/test/promptcache.test.ts
@@ -7,6 +7,7 @@
  */
 import {expect} from 'chai';
 import * as fc from 'fast-check';
+import {VirtualClock} from '../bench/support/virtualclock';
 import {parseConfiguration} from '../platform/configuration';
 import {platformHeaders} from '../platform/headers';
 import {emptyAvoidance, recordFailure} from '../src/gateway/avoidance';
@@ -17,6 +18,7 @@
   explainPlacement,
 } from '../src/gateway/endpointchoice';
 import {applyReport, emptyLoads, Loads} from '../src/gateway/endpointload';
+import {Exchange} from '../src/gateway/exchange';
 import {EngineSpec} from '../src/gateway/model';
 import {
   emptyPromptCache,
@@ -28,7 +30,7 @@
   recordEnded,
   recordSent,
 } from '../src/gateway/promptcache';
-import {registeredEndpoint} from './deploymentmodel';
+import {createDispatcher, registeredEndpoint, ROUTE} from './deploymentmodel';
 import {PromptModelSettings, runPromptModel} from './promptcachemodel';
 
 const SEEDS = [1, 2, 3];
@@ -258,6 +260,143 @@
   });
 });
 
+describe('beliefs of a dispatcher', () => {
+  const start = (keptMs: number) => {
+    const clock = new VirtualClock();
+    const dispatcher = createDispatcher({
+      instance: 'g',
+      zone: 'z',
+      clock,
+      random: () => 0,
+      cachedPrompts: {keptMs},
+    });
+    const service = {
+      name: 's',
+      healthPath: '/',
+      coldRequestsPerS: 0,
+      engine: ENGINE,
+    };
+    const configuration = {
+      version: 1,
+      routes: [ROUTE],
+      services: [service],
+      requiresKeys: false,
+      accounts: [],
+      limits: {bodyBytes: 1, idleTimeoutMs: 1},
+    };
+    const change = {configuration, zones: new Map()};
+    dispatcher.handleOperatorChange(change, true, {elapsedMs: 0, wallMs: 0});
+    const register = (startedMs: number, address = '10.0.0.1:80') => {
+      const endpoint = registeredEndpoint('e', 1, 'z', ENGINE.slots);
+      const registered = {...endpoint, startedMs, address};
+      dispatcher.handleEndpointChange(new Map([['e', registered]]), true);
+    };
+    const report = (epoch: number) => {
+      const load = {id: 'e', running: 0, queued: 0, group: 'g', epoch};
+      const rest = {open: true, pace: 1, limitPerS: undefined, share: 1};
+      dispatcher.handleLoadReport({...load, ...rest}, 1);
+    };
+    register(1);
+    report(1);
+    const exchange = {
+      incoming: {
+        service: 's',
+        route: ROUTE,
+        account: undefined,
+        arrivedMs: 0,
+        metadata: {
+          requestId: '',
+          sharedParts: PARTS.map(p => p.id),
+          sharedTokens: PARTS.map(p => p.tokens),
+        },
+      },
+      deadlineMs: ROUTE.timeoutMs,
+      triedEndpoints: new Set<string>(),
+      hasEnded: false,
+      send: () => undefined,
+    } as unknown as Exchange;
+    dispatcher.submit(exchange);
+    const held = () =>
+      dispatcher.explain(
+        {
+          service: 's',
+          route: ROUTE,
+          account: undefined,
+          arrivedMs: 0,
+          deadlineMs: ROUTE.timeoutMs,
+          triedEndpoints: new Set(),
+          parts: PARTS,
+          promptTokens: undefined,
+        },
+        1,
+      ).candidates[0]!.heldTokens;
+    expect(held()).to.equal(1_500);
+    const release = (evidence: 'works' | 'fails' | 'rejects') =>
+      dispatcher.releaseEndpoint(exchange, 'e', evidence);
+    return {register, report, release, held};
+  };
+
+  const endings: readonly {
+    readonly when: string;
+    readonly keptMs: number;
+    readonly change: (f: ReturnType<typeof start>) => void;
+    readonly tokens: number;
+  }[] = [
+    {
+      when: 'are void when the endpoint restarts',
+      keptMs: KEPT_MS,
+      change: f => f.register(2),
+      tokens: 0,
+    },
+    {
+      when: 'are void when its registration names another address',
+      keptMs: KEPT_MS,
+      change: f => f.register(1, '10.0.0.2:80'),
+      tokens: 0,
+    },
+    {
+      when: "are void when its group's epoch changes",
+      keptMs: KEPT_MS,
+      change: f => f.report(2),
+      tokens: 0,
+    },
+    {
+      when: 'outlive a renewed registration and report',
+      keptMs: 0,
+      change: f => {
+        f.register(1);
+        f.report(1);
+      },
+      tokens: 1_500,
+    },
+    {
+      when: 'end with the request if engines keep nothing',
+      keptMs: 0,
+      change: f => f.release('works'),
+      tokens: 0,
+    },
+    {
+      when: 'outlive the request if engines keep prompts',
+      keptMs: KEPT_MS,
+      change: f => f.release('works'),
+      tokens: 1_500,
+    },
+    {
+      when: 'end with a request that was not taken',
+      keptMs: KEPT_MS,
+      change: f => f.release('rejects'),
+      tokens: 0,
+    },
+  ];
+  for (const {when, keptMs, change, tokens} of endings) {
+    it(when, () => {
+      const fixture = start(keptMs);
+      change(fixture);
+      expect(fixture.held()).to.equal(tokens);
+    });
+  }
+});
+
 describe('cached prompts in a deployment', () => {
   const FEW = {gateways: 4, endpoints: 12, requestsPerS: 25, beginnings: 30};
   const MANY = {gateways: 40, endpoints: 24, requestsPerS: 50, beginnings: 1};
