--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -26,7 +26,31 @@
   Registration,
   servingEndpoints,
 } from './catalog';
-import {Choice, chooseEndpoint, silentEndpoints} from './endpointchoice';
+import {
+  Choice,
+  ChoiceContext,
+  chooseEndpoint,
+  explainPlacement,
+  PromptPreference,
+  silentEndpoints,
+} from './endpointchoice';
+import {
+  DelayRange,
+  EndpointState,
+  explainCandidates,
+  PlacementRequest,
+  ServiceExplanation,
+} from './explanation';
+import {
+  emptyPromptCache,
+  heldTokens,
+  Holder,
+  possibleHolders,
+  PromptPart,
+  recordEnded,
+  recordSent,
+} from './promptcache';
+import {nextPlacementStep, Unavailable} from './placementstep';
 import {CrashMonitor} from './crashmonitor';
 import {
   Dispatcher,
@@ -40,6 +64,7 @@
   countFinished,
   countSent,
   emptyLoads,
+  groupEpoch,
   isGroupOpen,
   loadEstimate,
   Loads,
@@ -52,6 +77,7 @@
   longAnswerMs,
   retryDelayMs,
   updateAnswerTime,
+  WaitLimit,
 } from './waitlimit';
 import {
   classOf,
@@ -81,11 +107,13 @@
 } from './unavailability';
 import {
   countAhead,
+  countBefore,
   countPlaced,
   emptyQueue,
   enqueue,
   nextRequest,
   Queue,
+  QueuedRequest,
   removeRequest,
   takeExpired,
   takeRetryable,
@@ -102,6 +130,12 @@
    * if absent.
    */
   readonly waitsByUrgency?: boolean;
+  /**
+   * Whether endpoints are chosen by the prompts that they hold, and for how long
+   * they are believed to keep one after its request: 0 for engines that keep
+   * none. Absent: cached prompts do not matter.
+   */
+  readonly cachedPrompts?: {readonly keptMs: number};
 }
 
 /** Interval at which waiting requests are served again, in milliseconds. */
@@ -149,6 +183,12 @@
 /** Longest timer for the end of a pause; longer ones overflow in Node. */
 const MAX_PAUSE_TIMER_MS = 60_000;
 
+/** What decides how long a request waits. */
+type WaitingRequest = Pick<
+  PlacementRequest,
+  'service' | 'route' | 'account' | 'deadlineMs'
+>;
+
 /** What the end of an attempt shows about the endpoint's slots. */
 const SLOT_CHANGES: Readonly<Record<EndpointEvidence, SlotChange>> = {
   works: 'freed',
@@ -158,13 +198,6 @@
   none: 'unknown',
 };
 
-/** All endpoints have said that they take no new requests. */
-interface Unavailable {
-  readonly kind: 'unavailable';
-  /** Time until the first of them may get requests again; may be infinite. */
-  readonly forMs: number;
-}
-
 /** Why an endpoint is no longer counted as unavailable. */
 type AvailabilityCause = 'pause over' | 'other process' | 'forgotten';
 
@@ -187,6 +220,7 @@
   private readonly phases = new Map<string, number>();
   /** Limits that endpoints have named, in requests per second, by id. */
   private readonly limitsPerS = new Map<string, number>();
+  private promptCache = emptyPromptCache;
   private unavailable = noUnavailableEndpoints;
   private pauseTimer: Timer | undefined;
   private gateways = {count: DEFAULT_GATEWAYS, untilMs: -Infinity};
@@ -398,41 +432,35 @@
     const nowMs = this.clock.elapsedMs();
     const budget = this.retryBudget();
     this.retries.set(service, countFirstAttempt(retries, budget, nowMs));
-    this.recordRoom(service, {arrived: this.urgencyOf(exchange)});
+    this.recordRoom(service, {arrived: this.urgencyOf(exchange.incoming)});
     this.place(exchange);
   }
 
   /** Sends a request to an endpoint, lets it wait, or refuses it. */
   place(exchange: Exchange): void {
     if (exchange.hasEnded || this.rejectIfQuarantined(exchange)) return;
-    if (!this.canEndBeforeStop(exchange)) return this.refuseForStop(exchange);
-    const {service, account, arrivedMs} = exchange.incoming;
+    const {incoming, deadlineMs} = exchange;
+    const {service} = incoming;
+    if (!this.canEndBeforeStop(service, deadlineMs))
+      return this.refuseForStop(exchange);
     const queue = this.queueOf(service);
     const nowMs = this.clock.elapsedMs();
-    const conditions = this.waitConditions(exchange);
-    const {callerMayRetry, untilMs, isHopeless} = urgentWait(conditions);
+    const wait = urgentWait(
+      this.waitConditions({...incoming, deadlineMs}, nowMs),
+    );
     const choice = this.chooseFor(exchange);
-    if (choice.kind === 'unavailable') {
-      return this.refuseForNoEndpoint(exchange, choice.forMs);
+    const othersWait = queue.waiting.length > 0;
+    const step = nextPlacementStep(choice, wait, othersWait, nowMs);
+    if (step.kind === 'refuse') {
+      return this.refuseForNoEndpoint(exchange, step.forMs);
     }
-    if (choice.kind === 'none' && (callerMayRetry || untilMs <= nowMs)) {
-      return this.refuseForNoEndpoint(exchange);
-    }
-    if (choice.kind === 'endpoint' && queue.waiting.length === 0) {
+    if (step.kind === 'send' && choice.kind === 'endpoint') {
       return this.send(exchange, choice.endpoint);
     }
-    if (isHopeless) return this.refuseForNoRoom(exchange, 'no room in time');
-    this.queues.set(
-      service,
-      enqueue(queue, {
-        request: exchange,
-        account: account?.name ?? '',
-        priority: priorityOf(exchange),
-        arrivedMs,
-        untilMs,
-        callerMayRetry,
-      }),
-    );
+    if (wait.isHopeless)
+      return this.refuseForNoRoom(exchange, 'no room in time');
+    const item = queuedRequest(exchange, incoming, wait);
+    this.queues.set(service, enqueue(queue, item));
     this.scheduleServe();
   }
 
@@ -462,9 +490,11 @@
     return classes;
   }
 
-  private urgencyOf(exchange: Exchange): number {
-    const classes = this.classesOf(exchange.incoming.service);
-    return classOf(classes, priorityOf(exchange));
+  private urgencyOf(
+    request: Pick<PlacementRequest, 'service' | 'account' | 'route'>,
+  ): number {
+    const classes = this.classesOf(request.service);
+    return classOf(classes, priorityOf(request));
   }
 
   private recordRoom(
@@ -486,22 +516,24 @@
     return priority => starved[classOf(classes, priority)] ?? false;
   }
 
-  private waitConditions(exchange: Exchange): UrgentWaitConditions {
-    const {service, route} = exchange.incoming;
-    const nowMs = this.clock.elapsedMs();
+  private waitConditions(
+    request: WaitingRequest,
+    nowMs: number,
+  ): UrgentWaitConditions {
+    const {service, route, deadlineMs} = request;
     const room = this.rooms.get(service) ?? emptyRoomHistory(nowMs);
-    const priority = priorityOf(exchange);
+    const priority = priorityOf(request);
     const isPriorityStarved = this.starvation(service);
     const classes = this.classesOf(service);
     const competes = classes.priorities.length > 1;
     return {
       nowMs,
-      deadlineMs: exchange.deadlineMs,
+      deadlineMs,
       route,
       meanAnswerMs:
         this.answerTimes.get(service)?.meanMs ?? route.targetLatencyMs,
       classes,
-      urgency: this.urgencyOf(exchange),
+      urgency: this.urgencyOf(request),
       isStarved: isPriorityStarved(priority),
       ahead: competes
         ? countAhead(this.queueOf(service), priority, isPriorityStarved)
@@ -511,14 +543,118 @@
   }
 
   private refuseForNoRoom(exchange: Exchange, reason: string): void {
-    const {service} = exchange.incoming;
-    this.servedOf(service).refused += 1;
-    const {priorities} = this.classesOf(service);
-    const delayMs =
-      priorities.length < 2
-        ? this.addJitter(OVERLOAD_RETRY_AFTER_MS)
-        : roomDelayMs(this.waitConditions(exchange), this.random);
-    exchange.refuse(reason, delayMs);
+    const {incoming, deadlineMs} = exchange;
+    this.servedOf(incoming.service).refused += 1;
+    const request = {...incoming, deadlineMs};
+    exchange.refuse(reason, this.noRoomDelayMs(request, this.random));
+  }
+
+  private noRoomDelayMs(request: WaitingRequest, random: () => number): number {
+    const {priorities} = this.classesOf(request.service);
+    if (priorities.length < 2)
+      return addJitter(OVERLOAD_RETRY_AFTER_MS, random);
+    const conditions = this.waitConditions(request, this.clock.elapsedMs());
+    return roomDelayMs(conditions, random);
+  }
+
+  /**
+   * What `place` would do with a request now, without doing it. `maxCandidates`
+   * bounds the endpoints that are listed.
+   */
+  explain(
+    request: PlacementRequest,
+    maxCandidates: number,
+  ): ServiceExplanation {
+    const nowMs = this.clock.elapsedMs();
+    const {service} = request;
+    const queue = this.queueOf(service);
+    const waiting = queue.waiting.length;
+    const found = this.servingFor(service, nowMs);
+    const preference = this.promptPreference(
+      service,
+      request.parts.map(({id, tokens}) => ({
+        id: servicePart(service, id),
+        tokens,
+      })),
+      request.promptTokens,
+      nowMs,
+    );
+    const explained =
+      found.kind === 'serving'
+        ? explainPlacement(
+            found.endpoints,
+            request.triedEndpoints,
+            this.choiceContext(nowMs, waiting > 0, preference),
+          )
+        : undefined;
+    const candidates = explainCandidates(
+      service,
+      explained,
+      this.endpointState(nowMs, preference),
+      maxCandidates,
+    );
+    const base = {service, waiting, ...candidates};
+    const refuse = (reason: string, retryAfterMs?: DelayRange) => ({
+      ...base,
+      decision: 'refuse' as const,
+      status: 503,
+      reason,
+      retryAfterMs,
+    });
+    const part = this.crashes.partToReject(
+      request.parts.map(({id}) => servicePart(service, id)),
+    );
+    if (part !== undefined)
+      return {...refuse('prompt part quarantined'), quarantinedPart: part};
+    if (!this.canEndBeforeStop(service, request.deadlineMs)) {
+      const ms = STOPPING_RETRY_AFTER_MS;
+      return refuse('stopping', {fromMs: ms, toMs: ms});
+    }
+    const limit = urgentWait(this.waitConditions(request, nowMs));
+    const choice = found.kind === 'serving' ? explained!.placement : found;
+    const step = nextPlacementStep(choice, limit, waiting > 0, nowMs);
+    const delays = (delayMs: (random: () => number) => number): DelayRange => {
+      const bounds = [delayMs(() => 0), delayMs(() => 1)];
+      return {
+        fromMs: Math.round(Math.min(...bounds)),
+        toMs: Math.round(Math.max(...bounds)),
+      };
+    };
+    if (step.kind === 'refuse') {
+      const leftMs = request.deadlineMs - nowMs;
+      return refuse(
+        'no endpoint',
+        delays(random => noEndpointDelayMs(leftMs, step.forMs, random)),
+      );
+    }
+    if (step.kind === 'send') return {...base, decision: 'send'};
+    const retryAfterMs = delays(random => this.noRoomDelayMs(request, random));
+    if (limit.isHopeless) return refuse('no room in time', retryAfterMs);
+    const item = queuedRequest(undefined, request, limit);
+    return {
+      ...base,
+      decision: 'wait',
+      reason: step.because,
+      waitMs: Math.max(0, Math.round(limit.untilMs - nowMs)),
+      before: countBefore(queue, item, this.starvation(service)),
+      retryAfterMs,
+    };
+  }
+
+  private endpointState(
+    nowMs: number,
+    preference: PromptPreference | undefined,
+  ): EndpointState {
+    const {catalog, loads, avoidance, unavailable} = this;
+    return {
+      catalog,
+      loads,
+      avoidance,
+      unavailable,
+      nowMs,
+      ratePerS: endpoint => this.sharedRatePerS(endpoint, nowMs),
+      prompt: preference,
+    };
   }
 
   /**
@@ -536,9 +672,9 @@
     for (const exchange of [...this.active]) this.refuseForStop(exchange);
   }
 
-  private canEndBeforeStop({incoming, deadlineMs}: Exchange): boolean {
+  private canEndBeforeStop(service: string, deadlineMs: number): boolean {
     if (deadlineMs <= this.stopMs) return true;
-    const time = this.answerTimes.get(incoming.service);
+    const time = this.answerTimes.get(service);
     const neededMs = time ? longAnswerMs(time) : 0;
     return this.clock.elapsedMs() + neededMs <= this.stopMs;
   }
@@ -557,6 +693,19 @@
       this.recordRoom(exchange.incoming.service, {freed: 1});
     }
     const nowMs = this.clock.elapsedMs();
+    const {cachedPrompts} = this.settings;
+    if (cachedPrompts) {
+      const hasRun = evidence === 'works' || evidence === 'none';
+      const isKept = hasRun && cachedPrompts.keptMs > 0;
+      const parts = partsOf(exchange);
+      this.promptCache = recordEnded(
+        this.promptCache,
+        endpoint,
+        parts,
+        isKept,
+        nowMs,
+      );
+    }
     if (evidence === 'works' || evidence === 'rejects') {
       this.avoidance = clearFailures(this.avoidance, endpoint);
     } else if (evidence === 'fails' || evidence === 'disconnected') {
@@ -680,30 +829,100 @@
   private chooseFor(exchange: Exchange): Choice | Unavailable {
     const nowMs = this.clock.elapsedMs();
     const {service} = exchange.incoming;
+    const found = this.servingFor(service, nowMs);
+    if (found.kind === 'unavailable') return found;
+    const hasBacklog = this.queueOf(service).waiting.some(
+      ({request}) => request !== exchange,
+    );
+    return chooseEndpoint(
+      found.endpoints,
+      exchange.triedEndpoints,
+      this.choiceContext(
+        nowMs,
+        hasBacklog,
+        this.promptPreference(
+          service,
+          partsOf(exchange),
+          exchange.incoming.metadata.promptTokens,
+          nowMs,
+        ),
+      ),
+    );
+  }
+
+  /** Undefined for requests and services to which it does not apply. */
+  private promptPreference(
+    service: string,
+    parts: readonly PromptPart[],
+    promptTokens: number | undefined,
+    nowMs: number,
+  ): PromptPreference | undefined {
+    const {cachedPrompts} = this.settings;
+    if (!cachedPrompts || parts.length === 0) return undefined;
+    const engine = this.catalog.services.get(service)?.engine;
+    if (engine?.readTokensPerS === undefined) return undefined;
+    const cache = this.promptCache;
+    return {
+      engine,
+      promptTokens: promptTokens ?? parts.reduce((n, p) => n + p.tokens, 0),
+      holders: possibleHolders(cache, parts),
+      heldTokens: endpoint =>
+        heldTokens(
+          cache,
+          this.holderOf(endpoint),
+          parts,
+          cachedPrompts.keptMs,
+          nowMs,
+        ),
+    };
+  }
+
+  private holderOf({id, address, startedMs}: Registration): Holder {
+    const epoch = groupEpoch(this.loads, id);
+    return {id, process: `${address} ${startedMs ?? ''} ${epoch}`};
+  }
+
+  /** The endpoints that serve, unless all of them are unavailable. */
+  private servingFor(
+    service: string,
+    nowMs: number,
+  ):
+    | {
+        readonly kind: 'serving';
+        readonly endpoints: readonly Registration[];
+      }
+    | Unavailable {
     const {catalog, unavailable} = this;
-    const serving = servingEndpoints(
+    const endpoints = servingEndpoints(
       catalog,
       service,
       nowMs,
       id => !isUnavailable(unavailable, id, nowMs),
     );
-    if (serving.length === 0 && !unavailable.isEmpty()) {
+    if (endpoints.length === 0 && !unavailable.isEmpty()) {
       const all = servingEndpoints(catalog, service, nowMs);
       const ends = all.map(e => unavailable.get(e.id)?.untilMs ?? Infinity);
       const forMs = Math.min(...ends) - nowMs;
       if (all.length > 0) return {kind: 'unavailable', forMs};
     }
-    return chooseEndpoint(serving, exchange.triedEndpoints, {
+    return {kind: 'serving', endpoints};
+  }
+
+  private choiceContext(
+    nowMs: number,
+    hasBacklog: boolean,
+    prompt: PromptPreference | undefined,
+  ): ChoiceContext {
+    return {
       loads: this.loads,
       avoidance: this.avoidance,
       zone: this.settings.zone,
       nowMs,
       random: this.random,
       withinRate: endpoint => this.withinRate(endpoint, nowMs),
-      hasBacklog: this.queueOf(service).waiting.some(
-        ({request}) => request !== exchange,
-      ),
-    });
+      hasBacklog,
+      prompt,
+    };
   }
 
   private send(exchange: Exchange, endpoint: Registration): void {
@@ -711,16 +930,39 @@
     const nowMs = this.clock.elapsedMs();
     const estimate = loadEstimate(this.loads, endpoint.id, nowMs);
     this.loads = countSent(this.loads, endpoint.id);
+    if (this.settings.cachedPrompts) {
+      this.promptCache = recordSent(
+        this.promptCache,
+        this.holderOf(endpoint),
+        partsOf(exchange),
+        nowMs,
+      );
+    }
     const queue = this.queueOf(service);
     this.queues.set(service, countPlaced(queue, account?.name ?? '', nowMs));
     this.lastSends = this.lastSends.set(endpoint.id, nowMs);
-    this.recordRoom(service, {placed: this.urgencyOf(exchange)});
+    this.recordRoom(service, {placed: this.urgencyOf(exchange.incoming)});
     exchange.send(endpoint, estimate);
   }
 
   /** Applies the rates of cold and limited endpoints, which gateways share. */
   private withinRate(endpoint: Registration, nowMs: number): boolean {
-    const {id, coldUntilMs, service} = endpoint;
+    const requestsPerS = this.sharedRatePerS(endpoint, nowMs);
+    if (requestsPerS === undefined) return true;
+    const {id} = endpoint;
+    const rate = {
+      requestsPerS,
+      gateways: this.gateways.count,
+      phase: this.phases.get(id) ?? 0,
+    };
+    return isWithinRate(this.lastSends, id, rate, nowMs);
+  }
+
+  /** The rate of a cold or limited endpoint; undefined if it is neither. */
+  private sharedRatePerS(
+    {id, coldUntilMs, service}: Registration,
+    nowMs: number,
+  ): number | undefined {
     const coldPerS = this.catalog.services.get(service)?.coldRequestsPerS ?? 0;
     const rates: number[] = [];
     if (coldUntilMs > nowMs && coldPerS > 0) {
@@ -728,13 +970,7 @@
     }
     const limitPerS = this.limitsPerS.get(id);
     if (limitPerS !== undefined) rates.push(limitPerS);
-    if (rates.length === 0) return true;
-    const rate = {
-      requestsPerS: Math.min(...rates),
-      gateways: this.gateways.count,
-      phase: this.phases.get(id) ?? 0,
-    };
-    return isWithinRate(this.lastSends, id, rate, nowMs);
+    return rates.length === 0 ? undefined : Math.min(...rates);
   }
 
   private queueOf(service: string): Queue<Exchange> {
@@ -811,7 +1047,8 @@
       this.refuseForNoRoom(request, 'overload');
     }
     for (const {request} of queue.waiting) {
-      if (!this.canEndBeforeStop(request)) this.refuseForStop(request);
+      if (!this.canEndBeforeStop(service, request.deadlineMs))
+        this.refuseForStop(request);
     }
     for (;;) {
       const isFirst = this.starvation(service);
@@ -853,12 +1090,7 @@
 
   private noEndpointDelayMs(exchange: Exchange, forMs = Infinity): number {
     const leftMs = exchange.deadlineMs - this.clock.elapsedMs();
-    const delayMs = retryDelayMs(leftMs, this.random);
-    return Math.min(delayMs, this.addJitter(forMs));
-  }
-
-  private addJitter(ms: number): number {
-    return ms * (1 + RETRY_AFTER_JITTER * this.random());
+    return noEndpointDelayMs(leftMs, forMs, this.random);
   }
 
   /** Has no floor, because floors add up with the number of gateways. */
@@ -869,13 +1101,61 @@
 }
 
 /** 0 is the most urgent. */
-function priorityOf({incoming: {account, route}}: Exchange): number {
+function priorityOf({
+  account,
+  route,
+}: Pick<PlacementRequest, 'account' | 'route'>): number {
   return account?.priority ?? route.priority;
 }
 
+function addJitter(ms: number, random: () => number): number {
+  return ms * (1 + RETRY_AFTER_JITTER * random());
+}
+
+function noEndpointDelayMs(
+  leftMs: number,
+  forMs: number,
+  random: () => number,
+): number {
+  const delayMs = retryDelayMs(leftMs, random);
+  return Math.min(delayMs, addJitter(forMs, random));
+}
+
+function queuedRequest<T>(
+  request: T,
+  {
+    account,
+    route,
+    arrivedMs,
+  }: Pick<PlacementRequest, 'account' | 'route' | 'arrivedMs'>,
+  {untilMs, callerMayRetry}: WaitLimit,
+): QueuedRequest<T> {
+  return {
+    request,
+    account: account?.name ?? '',
+    priority: priorityOf({account, route}),
+    arrivedMs,
+    untilMs,
+    callerMayRetry,
+  };
+}
+
 /** Services have different endpoints, so their parts are told apart. */
+function servicePart(service: string, part: string): string {
+  return `${service}/${part}`;
+}
+
+function partsOf({
+  incoming: {service, metadata},
+}: Exchange): readonly PromptPart[] {
+  return metadata.sharedParts.map((part, i) => ({
+    id: servicePart(service, part),
+    tokens: metadata.sharedTokens[i]!,
+  }));
+}
+
 function promptOf({incoming: {service, metadata}}: Exchange): Prompt {
-  return metadata.sharedParts.map(part => `${service}/${part}`);
+  return metadata.sharedParts.map(part => servicePart(service, part));
 }
 
 /** The state of a registration as it is logged. */
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -23,6 +23,8 @@
   readonly others: number;
   /** Group of ranks at the last report; undefined before the first. */
   readonly group: string | undefined;
+  /** Epoch of the group at the last report; undefined if unknown. */
+  readonly epoch: number | undefined;
   /** False if the group was broken at the last report. */
   readonly open: boolean;
   readonly pace: number;
@@ -52,6 +54,7 @@
   own: 0,
   others: 0,
   group: undefined,
+  epoch: undefined,
   open: true,
   pace: 1,
   reportedMs: -Infinity,
@@ -99,12 +102,13 @@
 ): Loads {
   const {own} = loads.get(report.id, UNKNOWN_LOAD);
   const others = Math.max(0, report.running + report.queued - own);
-  const {group, open, pace, running, queued} = report;
+  const {group, epoch, open, pace, running, queued} = report;
   const {requestLimit = Infinity} = report;
   return loads.set(report.id, {
     own,
     others,
     group,
+    epoch,
     open,
     pace,
     reportedMs: nowMs,
@@ -139,6 +143,26 @@
   return loads.get(id, UNKNOWN_LOAD).allowance >= 1;
 }
 
+/**
+ * Requests that this gateway may send to the endpoint until its next report;
+ * undefined if no fresh report limits them.
+ */
+export function shareOf(
+  loads: Loads,
+  id: string,
+  nowMs: number,
+): number | undefined {
+  if (!hasFreshReport(loads, id, nowMs)) return undefined;
+  const {allowance} = loads.get(id, UNKNOWN_LOAD);
+  return allowance === Infinity ? undefined : allowance;
+}
+
+/** Names the group of an endpoint and its epoch, as last reported. */
+export function groupEpoch(loads: Loads, id: string): string {
+  const {group, epoch} = loads.get(id, UNKNOWN_LOAD);
+  return `${group ?? ''} ${epoch ?? ''}`;
+}
+
 /** What a gateway assumed about an endpoint's load when it sent a request. */
 export interface LoadEstimate {
   readonly requests: number;
--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -30,6 +30,8 @@
   readonly running: number;
   readonly queued: number;
   readonly group: string;
+  /** Epoch of the group; absent if unknown. */
+  readonly epoch?: number;
   readonly open: boolean;
   readonly pace: number;
   /** Number of gateways that receive this report. */
@@ -195,11 +197,6 @@
     return this.heard;
   }
 
-  /** Number of gateways that receive the reports. */
-  get gateways(): number {
-    return this.subscribers.size;
-  }
-
   start(): Promise<void> {
     return this.datagrams.listen(this.self);
   }
--- a/src/gateway/queue.ts
+++ b/src/gateway/queue.ts
@@ -87,6 +87,16 @@
   ).length;
 }
 
+/** Number of waiting requests that are served before the given one. */
+export function countBefore<T>(
+  queue: Queue<T>,
+  item: QueuedRequest<unknown>,
+  isStarved: (priority: number) => boolean,
+): number {
+  return queue.waiting.filter(w => goesBefore(queue, w, item, isStarved))
+    .length;
+}
+
 /** Removes and returns the requests whose time to wait is over. */
 export function takeExpired<T>(
   queue: Queue<T>,
@@ -110,8 +120,8 @@
 
 function goesBefore<T>(
   queue: Queue<T>,
-  a: QueuedRequest<T>,
-  b: QueuedRequest<T>,
+  a: QueuedRequest<unknown>,
+  b: QueuedRequest<unknown>,
   isStarved: (priority: number) => boolean,
 ): boolean {
   const isFirst = isStarved(a.priority);
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -16,7 +16,16 @@
 } from './gateway/catalog';
 import {CrashMonitor} from './gateway/crashmonitor';
 import {RequestDispatcher} from './gateway/dispatcher';
-import {Exchange} from './gateway/exchange';
+import {Exchange, requestDeadlineMs} from './gateway/exchange';
+import {ExplainHandler} from './gateway/explainhandler';
+import {
+  EXPLAIN_PATH,
+  Explanation,
+  EXPLANATION_FORMAT,
+  explainRoute,
+  RequestDescription,
+} from './gateway/explanation';
+import {admitRequest} from './gateway/requestadmission';
 import {CallerServer} from './gateway/callerserver';
 import {
   EndpointHost,
@@ -33,6 +42,7 @@
 import {MetricsRegistry} from './observe/prometheus';
 import {Log, logFor} from './observe/log';
 import {Program} from './kernel/program';
+import {version} from './kernel/version';
 import {MAP_PATH, RankAgent} from './ranks/agent';
 import {Coordinator} from './ranks/coordinator';
 import {PassObserver} from './ranks/passobserver';
@@ -115,6 +125,8 @@
       zone,
       retryRatio: bounds.retryRatio,
       retryWindowMs: bounds.retryWindowMs,
+      // The platform's engines keep no prompt after its request.
+      cachedPrompts: {keptMs: 0},
     },
     clock,
     Math.random,
@@ -279,7 +291,16 @@
   const readiness: http.Server = createReadinessServer(() =>
     callerServer.isReady(),
   );
-  const metrics = createMetricsServer(registry);
+  const explain = (request: RequestDescription) =>
+    explainRequest(request, deployment, {
+      dispatcher,
+      callerServer,
+      clock,
+    });
+  const metrics = createMetricsServer(
+    registry,
+    new ExplainHandler({explain, clock}),
+  );
   registry.registerGauge(
     'boragemill_requests_in_flight',
     () => dispatcher.inFlight,
@@ -485,7 +506,7 @@
     store,
     catalog: () => catalog,
     isCandidate: () => coordinator.isLeading(),
-    gateways: () => publisher.gateways,
+    gateways: () => publisher.subscriberCount,
     send: (message, peer) => publisher.sendDuty(message, peer),
     perform,
     registry,
@@ -522,8 +543,8 @@
         agent.report().then(
           report => {
             passes.handleReport(report);
-            const {running, queued, group, open, pace} = report;
-            const load = {running, queued, group, open, pace};
+            const {running, queued, group, epoch, open, pace} = report;
+            const load = {running, queued, group, epoch, open, pace};
             publisher.publish({
               address: endpoint,
               ...load,
@@ -558,8 +579,64 @@
   return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
 
-function createMetricsServer(registry: MetricsRegistry): http.Server {
-  return http.createServer((req, res) => registry.handle(req, res));
+function createMetricsServer(
+  registry: MetricsRegistry,
+  explanations?: ExplainHandler,
+): http.Server {
+  return http.createServer((req, res) => {
+    const [path] = (req.url ?? '').split('?', 1);
+    if (path === EXPLAIN_PATH && explanations) explanations.handle(req, res);
+    else registry.handle(req, res);
+  });
+}
+
+/** Runs the decisions of the data path for a request that is not sent. */
+function explainRequest(
+  request: RequestDescription,
+  {instance, zone}: Deployment,
+  parts: {
+    readonly dispatcher: RequestDispatcher;
+    readonly callerServer: CallerServer;
+    readonly clock: Clock;
+  },
+): Explanation | {readonly kind: 'unknown account'} {
+  const {dispatcher, callerServer, clock} = parts;
+  const catalog = dispatcher.currentCatalog();
+  const {configuration, operatorAsOf} = catalog;
+  const account = configuration?.accounts.find(a => a.name === request.account);
+  if (configuration && request.account !== undefined && !account)
+    return {kind: 'unknown account'};
+  const admission = admitRequest(callerServer.admissionState(), {
+    host: request.host,
+    target: request.path,
+    readAccount: () => account,
+  });
+  const arrivedMs = clock.elapsedMs();
+  const ageMs = Math.round(msSince(operatorAsOf, clock));
+  return {
+    format: EXPLANATION_FORMAT,
+    version,
+    entry: instance,
+    zone,
+    configuration: configuration?.version,
+    configurationAgeMs: configuration ? ageMs : undefined,
+    request,
+    ...explainRoute(admission, (service, route, maxCandidates) =>
+      dispatcher.explain(
+        {
+          service,
+          route,
+          account,
+          arrivedMs,
+          deadlineMs: requestDeadlineMs(route, request, arrivedMs),
+          triedEndpoints: new Set(),
+          parts: request.parts,
+          promptTokens: request.promptTokens,
+        },
+        maxCandidates,
+      ),
+    ),
+  };
 }
 
 /** Logs a failure to listen; callers are served without metrics too. */
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -6,7 +6,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {VirtualClock} from '../bench/support/virtualclock';
 import {CrashMonitor} from '../src/gateway/crashmonitor';
-import {RequestDispatcher} from '../src/gateway/dispatcher';
+import {DispatcherSettings, RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
 import {Clock, Timer} from '../src/kernel/clock';
 import {Log} from '../src/observe/log';
@@ -42,6 +42,7 @@
   readonly log?: Log;
   readonly onRun?: (exchange: Exchange, beganMs: number) => void;
   readonly waitsByUrgency?: boolean;
+  readonly cachedPrompts?: DispatcherSettings['cachedPrompts'];
 }): RequestDispatcher {
   const {instance, zone, clock, random, log = () => undefined} = gateway;
   const {waitsByUrgency = true} = gateway;
@@ -51,6 +52,7 @@
       retryRatio: RETRY_RATIO,
       retryWindowMs: RETRY_WINDOW_MS,
       waitsByUrgency,
+      cachedPrompts: gateway.cachedPrompts,
     },
     clock,
     random,
--- a/test/usagemessage.test.ts
+++ b/test/usagemessage.test.ts
@@ -55,6 +55,7 @@
       systemClock,
       log,
       undefined,
+      undefined,
       usage => usages.push(usage),
     );
     const subscriber = new LoadSubscriber({
