Entry: bound what callers hold, in memory and in descriptors

Callers that sent bodies far over the limit, stopped just short of the end of many, pipelined requests or read no answers ended an entry: each was within its own limit, and there was none for all together.

One account has the bodies of all requests and one the answers above 64 KiB. Unfinished bodies give way, those of accounts over their share first; submitted requests never do, an endpoint is not read while there is no memory for its answer. A body is copied into one buffer that grows. The requests of a connection are handled one after another. Input in small chunks is paced, because 64 KiB of one-byte chunks are 11,000 events.

--- /dev/null
+++ b/src/gateway/bodyreader.ts
@@ -0,0 +1,241 @@
+/**
+ * Reads the body of one request into one buffer that grows.
+ *
+ * Node hands out slices of its read buffers, each with hundreds of bytes of heap,
+ * so a body in chunks of one byte would take several hundred times its size if the
+ * slices were kept. Each growth is entered into the memory account first, which may
+ * decide that this request or others give way.
+ */
+import http from 'node:http';
+import {Clock, Timer} from '../kernel/clock';
+import {BodyAccount} from './memoryaccounts';
+
+export type BodyOutcome =
+  | {readonly kind: 'whole'; readonly body: Buffer | undefined}
+  /** Larger than the limit, by the declared or the received length. */
+  | {readonly kind: 'large'}
+  /** It gave way to others, or there was no memory for it. */
+  | {readonly kind: 'shed'}
+  /** The caller has left. */
+  | {readonly kind: 'gone'};
+
+export interface BodyReaderDependencies {
+  readonly memory: BodyAccount;
+  /** Pauses a body that comes in small chunks. */
+  readonly pace: InputPace;
+}
+
+export interface BodyReading {
+  /** Frees the memory, and ends the reading if the body is incomplete. */
+  release(): void;
+}
+
+const FIRST_BYTES = 16_384;
+
+/**
+ * Each chunk takes processor time, so input in small ones is limited: these many
+ * chunks are free, and then one for each so many bytes. Node hands out what it has
+ * read from a network in pieces of a packet (about 1,400 bytes) or more.
+ */
+const FREE_CHUNKS = 512;
+const BYTES_PER_CHUNK = 256;
+
+function hasSmallChunks(chunks: number, bytes: number): boolean {
+  return chunks > FREE_CHUNKS + bytes / BYTES_PER_CHUNK;
+}
+
+/**
+ * Calls `onOutcome` once. The memory of a whole body is held until `release`;
+ * in all other cases it has been released, and the rest of the input is discarded.
+ */
+export function readBody(
+  req: http.IncomingMessage,
+  {memory, pace}: BodyReaderDependencies,
+  {account, maxBytes}: {readonly account: string; readonly maxBytes: number},
+  onOutcome: (outcome: BodyOutcome) => void,
+): BodyReading {
+  const {headers} = req;
+  const declared = headers['content-length'];
+  const hasBody =
+    declared !== undefined || headers['transfer-encoding'] !== undefined;
+  const mostBytes = Math.min(Number(declared ?? Infinity), maxBytes);
+  const buffer = new GrowingBuffer(mostBytes);
+  let bytes = 0;
+  let chunks = 0;
+  let isFinished = false;
+  const holding = memory.open(account, () => finish({kind: 'shed'}));
+
+  function finish(outcome: BodyOutcome): void {
+    if (isFinished) return;
+    isFinished = true;
+    pace.resume(req);
+    if (outcome.kind === 'whole') {
+      holding.submit();
+    } else {
+      buffer.free();
+      holding.release();
+    }
+    onOutcome(outcome);
+  }
+
+  function take(chunk: Buffer): void {
+    if (isFinished) return;
+    const end = bytes + chunk.length;
+    if (end > maxBytes) return finish({kind: 'large'});
+    holding.recordProgress(chunk.length);
+    if (end > buffer.capacity && !grow(end)) return finish({kind: 'shed'});
+    buffer.write(chunk, bytes);
+    bytes = end;
+    chunks += 1;
+    if (hasSmallChunks(chunks, bytes)) pace.pause(req);
+  }
+
+  function grow(neededBytes: number): boolean {
+    const doubled = Math.max(FIRST_BYTES, buffer.capacity * 2, neededBytes);
+    const size = Math.max(neededBytes, Math.min(doubled, mostBytes));
+    if (!holding.grow(size - buffer.capacity)) return false;
+    buffer.grow(size);
+    return true;
+  }
+
+  if (Number(declared ?? 0) > maxBytes) {
+    finish({kind: 'large'});
+  } else {
+    req.on('data', take);
+    req.on('end', () => {
+      const body = hasBody || bytes > 0 ? buffer.read(bytes) : undefined;
+      finish({kind: 'whole', body});
+    });
+    req.on('error', () => finish({kind: 'gone'}));
+    req.on('close', () => finish({kind: 'gone'}));
+  }
+  return {
+    release: () => {
+      finish({kind: 'gone'});
+      holding.release();
+    },
+  };
+}
+
+/** Buffers above this size are resizable. */
+const MAX_PLAIN_BYTES = 65_536;
+
+/** Of ES2024; in Node 20, but not in the type library. */
+interface ResizableArrayBuffer extends ArrayBuffer {
+  resize(bytes: number): void;
+}
+const createResizable = ArrayBuffer as unknown as new (
+  bytes: number,
+  options: {readonly maxByteLength: number},
+) => ResizableArrayBuffer;
+
+/**
+ * A buffer that grows without leaving the smaller ones to the garbage collector,
+ * which collects them late, and that can be freed at once. A small one is a plain
+ * buffer, because a resizable one costs about 8 us.
+ */
+class GrowingBuffer {
+  private view = Buffer.alloc(0);
+  private resizable: ResizableArrayBuffer | undefined;
+
+  constructor(private readonly maxBytes: number) {}
+
+  get capacity(): number {
+    return this.view.length;
+  }
+
+  /** Grows to at most `maxBytes`. */
+  grow(bytes: number): void {
+    const before = this.view;
+    if (this.resizable) {
+      this.resizable.resize(bytes);
+      this.view = Buffer.from(this.resizable, 0, bytes);
+      return;
+    }
+    if (bytes > MAX_PLAIN_BYTES) {
+      const options = {maxByteLength: this.maxBytes};
+      this.resizable = new createResizable(bytes, options);
+      this.view = Buffer.from(this.resizable, 0, bytes);
+    } else {
+      this.view = Buffer.allocUnsafeSlow(bytes);
+    }
+    before.copy(this.view);
+  }
+
+  write(chunk: Buffer, at: number): void {
+    chunk.copy(this.view, at);
+  }
+
+  read(bytes: number): Buffer {
+    return this.view.subarray(0, bytes);
+  }
+
+  free(): void {
+    this.view = Buffer.alloc(0);
+    this.resizable?.resize(0);
+  }
+}
+
+/**
+ * Reads input without keeping it. `onExcess` is called once, after more than
+ * `maxBytes` or many small chunks.
+ */
+export function discardBody(
+  req: http.IncomingMessage,
+  maxBytes: number,
+  onExcess: () => void,
+): void {
+  let bytes = 0;
+  let chunks = 0;
+  let isOver = false;
+  req.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    chunks += 1;
+    if (isOver) return;
+    isOver = bytes > maxBytes || hasSmallChunks(chunks, bytes);
+    if (isOver) onExcess();
+  });
+}
+
+/** Pause between two reads of 64 KiB from connections with small chunks, in ms. */
+const PACE_MS = 20;
+
+/**
+ * Reads from connections that send small chunks, one after another with pauses.
+ *
+ * 64 KiB in chunks of one byte are eleven thousand events, and Node reads that much
+ * from a connection at a time, so a few such callers could keep the process from
+ * everything else. Only connections whose request is incomplete are paused.
+ */
+export class InputPace {
+  private readonly paused = new Set<http.IncomingMessage>();
+  private timer: Timer | undefined;
+
+  constructor(private readonly clock: Clock) {}
+
+  pause(req: http.IncomingMessage): void {
+    if (this.paused.has(req) || req.destroyed) return;
+    this.paused.add(req);
+    // Node resumes the socket whenever the request asks for more, which it does
+    // after each chunk.
+    req._read = () => undefined;
+    req.socket.pause();
+    this.schedule();
+  }
+
+  /** Has no effect on a request that is not paused. */
+  resume(req: http.IncomingMessage): void {
+    if (!this.paused.delete(req)) return;
+    delete (req as Partial<http.IncomingMessage>)._read;
+    req.socket.resume();
+  }
+
+  private schedule(): void {
+    this.timer ??= this.clock.after(PACE_MS, () => {
+      this.timer = undefined;
+      const [next] = this.paused;
+      if (next) this.resume(next);
+      if (this.paused.size > 0) this.schedule();
+    });
+  }
+}
--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -7,15 +7,20 @@
 import http from 'node:http';
 import {Clock, msSince} from '../kernel/clock';
 import {Log} from '../observe/log';
+import {LimitedLog} from '../observe/loglimit';
 import {Catalog, matchRoute} from './catalog';
-import {IncomingRequest, writeFailure} from './exchange';
-import {Route} from './model';
+import {BodyReaderDependencies, discardBody, readBody} from './bodyreader';
+import {ActiveRequest, CallerConnections} from './callerconnections';
+import {IncomingRequest, writeFailure, writeFailureUnended} from './exchange';
+import {CallerLimits, Route} from './model';
 import {HeaderCodec} from './headercodec';
 
 export interface CallerServerDependencies {
   readonly headers: HeaderCodec;
   readonly clock: Clock;
   readonly log: Log;
+  /** For refusals that callers can cause without limit. */
+  readonly limitedLog: LimitedLog;
   catalog(): Catalog;
   submit(incoming: IncomingRequest): void;
   /** Called when a request is refused before it is submitted. */
@@ -25,6 +30,8 @@
    * confirmed longer ago than this, in ms.
    */
   readonly maxConfigurationAgeMs: number;
+  readonly connections: CallerConnections;
+  readonly bodies: BodyReaderDependencies;
   readonly random: () => number;
 }
 
@@ -36,12 +43,25 @@
  * opening of a connection, on which a caller may be idle at first.
  */
 const HEADERS_TIMEOUT_MS = 15_000;
+/** How often Node looks for late headers, in ms; its default is 30 s. */
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 
 /** Idle timeout of connections until a configuration sets one, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** Connections stay open this much longer than callers may use them. */
 const IDLE_MARGIN_MS = 1_000;
 
+/**
+ * After a refusal, input is discarded for this time and up to so many bytes before
+ * the connection is closed. Closing a socket with unread bytes resets it, and the
+ * caller may lose the answer.
+ */
+const DISCARD_MS = 500;
+const MAX_DISCARDED_BYTES = 1_048_576;
+
+/** Retry-After of a request that gave way for memory or descriptors, in ms. */
+const OVERLOAD_RETRY_AFTER_MS = 1_000;
+
 /** Retry-After while stopping or without a usable configuration. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 /** Retry-After while the configuration may be out of date. */
@@ -64,15 +84,19 @@
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         headersTimeout: HEADERS_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         requestTimeout: 0,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS,
         noDelay: true,
       },
-      (req, res) => this.handle(req, res),
+      (req, res) =>
+        deps.connections.receive(req, res, request => this.handle(request)),
     );
+    this.server.on('connection', socket => deps.connections.add(socket));
   }
 
   listen(address: string): Promise<void> {
+    this.deps.connections.start();
     const [host = '', port = ''] = address.split(':');
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
@@ -88,6 +112,7 @@
   /** Refuses new requests and closes idle connections. */
   close(): void {
     this.closing = true;
+    this.deps.connections.stop();
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -100,8 +125,9 @@
     );
   }
 
-  setIdleTimeout(idleMs: number): void {
-    this.server.keepAliveTimeout = idleMs + IDLE_MARGIN_MS;
+  setLimits({idleTimeoutMs}: CallerLimits): void {
+    this.server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+    this.deps.connections.setIdleTimeout(idleTimeoutMs);
   }
 
   private configurationAgeMs(): number {
@@ -112,8 +138,8 @@
     return this.configurationAgeMs() > this.deps.maxConfigurationAgeMs;
   }
 
-  private handle(req: http.IncomingMessage, res: http.ServerResponse): void {
-    const arrivedMs = this.deps.clock.elapsedMs();
+  private handle(request: ActiveRequest): void {
+    const {req, res, arrivedMs} = request;
     if (this.draining) res.shouldKeepAlive = false;
     const sendRefusal = (status: number, reason: string, retryMs?: number) =>
       this.refuse(req, res, status, reason, retryMs);
@@ -155,19 +181,33 @@
     const service = pickService(route, this.deps.random);
     if (service === undefined)
       return sendRefusal(503, 'no service', UNAVAILABLE_RETRY_AFTER_MS);
-    readBody(req, configuration.limits.bodyBytes, outcome => {
-      if (outcome === 'gone') return;
-      if (outcome === 'large') return sendRefusal(413, 'body too large');
-      this.deps.submit({
-        req,
-        res,
-        metadata,
-        route,
-        service,
-        account,
-        body: outcome,
-        arrivedMs,
-      });
+    const owner = account?.name ?? req.socket.remoteAddress ?? '';
+    const {bodyBytes: maxBytes} = configuration.limits;
+    const reading = readBody(
+      req,
+      this.deps.bodies,
+      {account: owner, maxBytes},
+      outcome => {
+        if (outcome.kind === 'gone') return;
+        if (outcome.kind === 'large') {
+          return this.refuseAndClose(request, 413, 'body too large');
+        }
+        const hasRoom = outcome.kind === 'whole' && request.submit();
+        if (!hasRoom) {
+          const reason = outcome.kind === 'shed' ? 'memory' : 'descriptors';
+          const retryMs = OVERLOAD_RETRY_AFTER_MS;
+          return this.refuseAndClose(request, 503, reason, retryMs);
+        }
+        const {body} = outcome;
+        const incoming = {req, res, metadata, route, service, account};
+        this.deps.submit({...incoming, body, arrivedMs});
+      },
+    );
+    // An answer that is written refers to its request, and so to the body.
+    res.once('close', () => reading.release());
+    request.setStallHandler(() => {
+      reading.release();
+      this.refuseAndClose(request, 408, 'body incomplete');
     });
   }
 
@@ -182,7 +222,38 @@
     this.deps.countRefusal(status, reason);
     this.deps.log('info', 'refused', {request: requestId, status, reason});
     writeFailure(res, status, reason, retryMs);
-    req.resume();
+    const {limits} = this.deps.catalog().configuration ?? {};
+    discardBody(req, limits?.bodyBytes ?? MAX_DISCARDED_BYTES, () =>
+      req.socket.destroy(),
+    );
+  }
+
+  /** Refuses a request whose body is not read any further. */
+  private refuseAndClose(
+    request: ActiveRequest,
+    status: number,
+    reason: string,
+    retryMs?: number,
+  ): void {
+    const {req, res} = request;
+    this.deps.countRefusal(status, reason);
+    const {requestId} = this.deps.headers.readRequest(req.headers);
+    // Callers that keep to no limit cause such refusals as fast as they like.
+    const fields = {request: requestId, status};
+    this.deps.limitedLog('info', 'refused', reason, fields);
+    res.shouldKeepAlive = false;
+    if (req.complete) return writeFailure(res, status, reason, retryMs);
+    request.beginClose();
+    // Node closes the connection as soon as the answer has ended.
+    writeFailureUnended(res, status, reason, retryMs);
+    const end = () => {
+      timer.cancel();
+      res.end();
+    };
+    const timer = this.deps.clock.after(DISCARD_MS, end);
+    discardBody(req, MAX_DISCARDED_BYTES, end);
+    req.once('end', end);
+    res.once('close', () => timer.cancel());
   }
 }
 
@@ -201,34 +272,3 @@
   // Rounding may leave a rest.
   return weighted.at(-1)?.service;
 }
-
-type BodyResult = Buffer | undefined | 'large' | 'gone';
-
-/** Reads the whole body; undefined if the request has none. */
-function readBody(
-  req: http.IncomingMessage,
-  maxBytes: number,
-  onResult: (body: BodyResult) => void,
-): void {
-  const {headers} = req;
-  const hasBody =
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  let finished = false;
-  const finish = (body: BodyResult) => {
-    if (finished) return;
-    finished = true;
-    onResult(body);
-  };
-  if (Number(headers['content-length'] ?? 0) > maxBytes) return finish('large');
-  req.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > maxBytes) finish('large');
-    else chunks.push(chunk);
-  });
-  req.on('end', () => finish(hasBody ? Buffer.concat(chunks) : undefined));
-  req.on('error', () => finish('gone'));
-  req.on('close', () => finish('gone'));
-}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -20,6 +20,8 @@
 import {Registration} from './catalog';
 import {LoadEstimate} from './endpointload';
 import {EventSplitter} from './eventsplitter';
+import {LARGEST_ANSWER_BYTES, UNRESERVED_ANSWER_BYTES} from './callermemory';
+import {AnswerAccount, AnswerReservation} from './memoryaccounts';
 import {Account, Route} from './model';
 import {recordEvents, StreamTiming} from './streamtiming';
 import {AnswerMetadata, HeaderCodec, RequestMetadata} from './headercodec';
@@ -95,6 +97,7 @@
 interface ExchangeDependencies {
   readonly headers: HeaderCodec;
   readonly clock: Clock;
+  readonly answers: AnswerAccount;
 }
 
 const EVIDENCE: Readonly<Record<AttemptOutcome, EndpointEvidence>> = {
@@ -117,12 +120,6 @@
  */
 const ATTEMPT_TIMEOUT_SHARE = 0.4;
 
-/**
- * Limit on the bytes of an answer or event that are held until it is complete.
- * An endpoint may send bytes without end.
- */
-const MAX_HELD_ANSWER_BYTES = 1_048_576;
-
 /** Time kept for the return of the answer from the endpoint, in ms. */
 const RETURN_MARGIN_MS = 5;
 
@@ -142,6 +139,8 @@
   private passedOnHead: AnswerHead | undefined;
   private body: Buffer[] = [];
   private bodyBytes = 0;
+  /** Memory for an answer that is not small; it may have to wait for it. */
+  private reservation: AnswerReservation | undefined;
   /** Events of the current attempt. */
   private events = 0;
   private timing: StreamTiming | undefined;
@@ -167,8 +166,11 @@
     this.timers.push(deps.clock.after(leftMs, () => this.handleDeadline()));
     res.on('close', () => {
       if (!this.over) this.handleCallerGone();
+      this.releaseAnswer();
+    });
+    res.on('drain', () => {
+      if (this.reservation?.isGranted ?? true) this.attempt?.resume();
     });
-    res.on('drain', () => this.attempt?.resume());
   }
 
   /** Whether the request has ended. */
@@ -196,8 +198,7 @@
     this.startedMs = clock.elapsedMs();
     this.head = undefined;
     this.answer = undefined;
-    this.body = [];
-    this.bodyBytes = 0;
+    this.releaseAnswer();
     this.events = 0;
     const isResumption = this.incoming.res.headersSent;
     this.splitter = new EventSplitter(this.splitter.lastEventId, isResumption);
@@ -306,13 +307,14 @@
   private handleData(chunk: Buffer): void {
     const relays = this.relaysAnswer();
     const held = relays ? this.splitter.partialBytes : this.bodyBytes;
-    if (held + chunk.length > MAX_HELD_ANSWER_BYTES) {
+    if (held + chunk.length > LARGEST_ANSWER_BYTES) {
       this.attempt?.abort();
       return this.handleAttemptEnd('broken', 'answer too large');
     }
     if (!relays) {
       this.body.push(chunk);
       this.bodyBytes += chunk.length;
+      if (this.bodyBytes > UNRESERVED_ANSWER_BYTES) this.reserveAnswer();
       return;
     }
     const {bytes, events, isInterrupted} = this.splitter.push(chunk);
@@ -323,6 +325,27 @@
     }
   }
 
+  /**
+   * Reserves memory for the whole answer. The endpoint is not read any further
+   * until there is some; that does not end the attempt.
+   */
+  private reserveAnswer(): void {
+    if (this.reservation) return;
+    const declared = Number(this.head?.headers['content-length'] ?? Infinity);
+    this.reservation = this.deps.answers.reserve(
+      Math.max(this.bodyBytes, Math.min(declared, LARGEST_ANSWER_BYTES)),
+      () => this.attempt?.resume(),
+    );
+    if (!this.reservation.isGranted) this.attempt?.pause();
+  }
+
+  private releaseAnswer(): void {
+    this.body = [];
+    this.bodyBytes = 0;
+    this.reservation?.release();
+    this.reservation = undefined;
+  }
+
   private passOn(bytes: Buffer, events: number): void {
     this.events += events;
     if (this.events > 1) this.dispatcher.reportProgress(this);
@@ -504,6 +527,8 @@
     const {status, rawHeaders, headers} = this.head!;
     const returned = this.deps.headers.returnedHeaders(rawHeaders, headers);
     const body = Buffer.concat(this.body);
+    this.body = [];
+    this.reservation?.shrinkTo(body.length);
     const {res, req} = this.incoming;
     const length = headers['content-length'];
     const bytes =
@@ -517,6 +542,7 @@
     this.over = true;
     for (const timer of this.timers) timer.cancel();
     this.attemptTimer?.cancel();
+    if (this.incoming.res.destroyed) this.releaseAnswer();
     const {tries, timing} = this;
     this.dispatcher.finishExchange(this, {outcome, status, tries, timing});
   }
@@ -550,6 +576,27 @@
   retryAfterMs?: number,
 ): void {
   if (res.headersSent || res.destroyed) return;
+  res.end(writeFailureHead(res, status, reason, retryAfterMs));
+}
+
+/** Writes all bytes of a failure answer; the caller of this function ends it. */
+export function writeFailureUnended(
+  res: http.ServerResponse,
+  status: number,
+  reason: string,
+  retryAfterMs?: number,
+): void {
+  if (res.headersSent || res.destroyed) return;
+  res.write(writeFailureHead(res, status, reason, retryAfterMs));
+}
+
+/** Returns the body that must follow. */
+function writeFailureHead(
+  res: http.ServerResponse,
+  status: number,
+  reason: string,
+  retryAfterMs: number | undefined,
+): string {
   const body = JSON.stringify({error: reason});
   const headers = [
     'Content-Type',
@@ -561,5 +608,5 @@
     headers.push('Retry-After', (retryAfterMs / MS_PER_S).toFixed(2));
   }
   res.writeHead(status, headers);
-  res.end(body);
+  return body;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -15,6 +15,12 @@
   applyEndpointChange,
   applyOperatorChange,
 } from './gateway/catalog';
+import {InputPace} from './gateway/bodyreader';
+import {CallerConnections} from './gateway/callerconnections';
+import {divideMemory} from './gateway/callermemory';
+import {callerDescriptors} from './gateway/connections';
+import {AnswerAccount, BodyAccount} from './gateway/memoryaccounts';
+import {limitLog} from './observe/loglimit';
 import {CrashMonitor} from './gateway/crashmonitor';
 import {RequestDispatcher} from './gateway/dispatcher';
 import {Exchange} from './gateway/exchange';
@@ -73,6 +79,9 @@
  */
 const MAX_CONFIGURATION_AGE_FRACTION = 0.7;
 
+/** Largest body until a configuration sets one. */
+const DEFAULT_BODY_BYTES = 4_194_304;
+
 /** How long a stopping entry still accepts requests, in milliseconds. */
 const DRAIN_ACCEPT_MS = 3_000;
 /** Time reserved for the process to exit before it is killed. */
@@ -166,14 +175,40 @@
   const loopDelay = new LoopDelayMonitor(clock, log, ms =>
     registry.recordDuration('boragemill_event_loop_delay_ms', ms),
   );
+  const {memoryBytes, maxFds} = deployment.machine;
+  const shares = divideMemory(memoryBytes, DEFAULT_BODY_BYTES);
+  const bodies = new BodyAccount(shares.bodyBytes);
+  const answers = new AnswerAccount(shares.answerBytes);
+  const callerLog = limitLog(log, clock);
+  const connections = new CallerConnections({
+    clock,
+    log: callerLog,
+    limits: {
+      connections: shares.connections,
+      descriptors: callerDescriptors(maxFds),
+    },
+    countClosed: reason =>
+      registry.increment('boragemill_connections_closed_total', {
+        port: 'callers',
+        reason,
+      }),
+    onSweep: () => bodies.advance(),
+  });
   const callerServer = new CallerServer({
+    connections,
+    limitedLog: callerLog,
+    bodies: {memory: bodies, pace: new InputPace(clock)},
     headers: platformHeaders,
     clock,
     log,
     catalog: () => dispatcher.currentCatalog(),
     submit: incoming =>
       dispatcher.submit(
-        new Exchange(incoming, dispatcher, {headers: platformHeaders, clock}),
+        new Exchange(incoming, dispatcher, {
+          headers: platformHeaders,
+          clock,
+          answers,
+        }),
       ),
     countRefusal: (status, reason) =>
       registry.increment('boragemill_refused_total', {
@@ -189,9 +224,11 @@
     {
       handleChange(change, isFullRead, asOf) {
         dispatcher.handleOperatorChange(change, isFullRead, asOf);
-        const idleMs =
-          dispatcher.currentCatalog().configuration?.limits.idleTimeoutMs;
-        if (idleMs !== undefined) callerServer.setIdleTimeout(idleMs);
+        const {limits} = dispatcher.currentCatalog().configuration ?? {};
+        if (!limits) return;
+        callerServer.setLimits(limits);
+        const {bodyBytes} = divideMemory(memoryBytes, limits.bodyBytes);
+        bodies.setBudget(bodyBytes);
       },
       handleNoChange: asOf => dispatcher.handleOperatorConfirmation(asOf),
     },
@@ -254,6 +291,15 @@
     callerServer.isReady(),
   );
   const metrics = createMetricsServer(registry);
+  registry.registerGauge('boragemill_connections', () => connections.count);
+  registry.registerGauge(
+    'boragemill_held_bytes{of="bodies"}',
+    () => bodies.heldBytes,
+  );
+  registry.registerGauge(
+    'boragemill_held_bytes{of="answers"}',
+    () => answers.heldBytes,
+  );
   registry.registerGauge(
     'boragemill_requests_in_flight',
     () => dispatcher.inFlight,
--- a/test/platformentries.ts
+++ b/test/platformentries.ts
@@ -29,6 +29,7 @@
     endpoint: undefined,
     service: undefined,
     store,
+    machine: {memoryBytes: 202_000_000, maxFds: 2_069},
     bounds: {
       graceMs: 4_000,
       drainMs: 2_000,
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -98,6 +98,7 @@
       endpoint: undefined,
       service: undefined,
       store: address,
+      machine: {memoryBytes: 202_000_000, maxFds: 2_069},
       bounds: {
         graceMs: 4_000,
         drainMs: 2_000,
