Readiness, metrics and sidecar ports: bound connections and bodies

400 connections to one of these ports stayed open, and 80 unfinished orders took a sidecar to 408 MB of 218. The ports have limits of their own; order bodies use the body account.

--- a/src/gateway/readiness.ts
+++ b/src/gateway/readiness.ts
@@ -1,12 +1,13 @@
-/** HTTP server for the balancer's readiness check, on an address of its own. */
+/** Answers on the internal ports, and listening on them. */
 import http from 'node:http';
 
-export function createReadinessServer(ready: () => boolean): http.Server {
-  return http.createServer((req, res) => {
-    req.resume();
-    res.writeHead(ready() ? 200 : 503, {'Content-Length': '0'});
-    res.end();
-  });
+/** Answers the balancer's readiness check. */
+export function answerReadiness(
+  ready: boolean,
+  res: http.ServerResponse,
+): void {
+  res.writeHead(ready ? 200 : 503, {'Content-Length': '0'});
+  res.end();
 }
 
 export function listenAt(server: http.Server, address: string): Promise<void> {
--- a/src/ranks/agent.ts
+++ b/src/ranks/agent.ts
@@ -8,6 +8,7 @@
 import http from 'node:http';
 import * as z from 'zod';
 import {Clock} from '../kernel/clock';
+import {BodyReaderDependencies, readBody} from '../gateway/bodyreader';
 import {Log} from '../observe/log';
 import {Engine} from './engine';
 import {KnownMaps, MapReference} from './mapreference';
@@ -131,6 +132,7 @@
     private readonly engine: Engine,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly input: BodyReaderDependencies,
     /** Sends a map to another sidecar; a lost one is ordered in full later. */
     private readonly sendMap: (
       sidecar: string,
@@ -234,6 +236,24 @@
     sendJson(res, 404, {});
   }
 
+  /** Rejects if the body is too large, or gives way to others for memory. */
+  private readBody(req: http.IncomingMessage): Promise<string> {
+    return new Promise((resolve, reject) => {
+      const limits = {
+        account: req.socket?.remoteAddress ?? '',
+        maxBytes: MAX_ORDER_BYTES,
+      };
+      const reading = readBody(req, this.input, limits, outcome => {
+        if (outcome.kind !== 'whole') {
+          return reject(new Error(`body not read: ${outcome.kind}`));
+        }
+        // The caller parses it at once, and keeps none of its bytes.
+        resolve(outcome.body?.toString() ?? '');
+        setImmediate(() => reading.release());
+      });
+    });
+  }
+
   /** Undefined if the order refers to a map that is not known here. */
   private resolveOrder(received: ReceivedOrder): RankOrder | undefined {
     if (received.kind !== 'prepare') return received;
@@ -254,7 +274,7 @@
   ): Promise<void> {
     try {
       const {reference, passTo} = mapSchema.parse(
-        JSON.parse(await readBody(req)),
+        JSON.parse(await this.readBody(req)),
       );
       const sent = passTo.map(sidecar =>
         this.sendMap(sidecar, reference).catch((error: unknown) =>
@@ -279,7 +299,7 @@
   ): Promise<void> {
     try {
       const {epoch, order: received} = requestSchema.parse(
-        JSON.parse(await readBody(req)),
+        JSON.parse(await this.readBody(req)),
       );
       const order = this.resolveOrder(received);
       if (!order) return sendJson(res, UNKNOWN_MAP_STATUS, {});
@@ -292,20 +312,6 @@
   }
 }
 
-async function readBody(req: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  // A request that is destroyed loses its connection, which then cannot be
-  // answered or closed.
-  for await (const chunk of req.iterator({destroyOnReturn: false})) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > MAX_ORDER_BYTES)
-      throw new Error('order request is larger than 4 MiB');
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString();
-}
-
 /** Closes the connection too, because the body may not have been read whole. */
 function refuseBody(res: http.ServerResponse): void {
   res.shouldKeepAlive = false;
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -30,10 +30,11 @@
   LoadPublisher,
   LoadSubscriber,
 } from './gateway/loadreports';
-import {listenAt, createReadinessServer} from './gateway/readiness';
+import {answerReadiness, listenAt} from './gateway/readiness';
 import {StoreProgress} from './gateway/storeprogress';
 import {TableWatch} from './gateway/tablewatch';
 import {watchTimes} from './gateway/watchtimes';
+import {BoundedServerLimits, createBoundedServer} from './kernel/boundedserver';
 import {Clock, msSince, repeatEvery, systemClock, Timer} from './kernel/clock';
 import {JsonClient} from './kernel/jsonclient';
 import {LoopDelayMonitor} from './observe/loopdelay';
@@ -79,6 +80,25 @@
  */
 const MAX_CONFIGURATION_AGE_FRACTION = 0.7;
 
+/**
+ * A balancer and a scraper have a connection each, or several that overlap when
+ * they reconnect; both send requests without a body.
+ */
+const INTERNAL_PORT_LIMITS: BoundedServerLimits = {
+  connections: 12,
+  idleMs: 5_000,
+  readsBodies: false,
+};
+/**
+ * Connections of other sidecars: a coordinator has a few, and all sidecars of a
+ * large group may ask when it has changed.
+ */
+const MAX_ORDER_CONNECTIONS = 256;
+/** A sidecar has one such connection for so many descriptors. */
+const ORDER_DESCRIPTORS = 4;
+/** Sidecars send an order at once; their timeouts are shorter. */
+const ORDER_IDLE_MS = 5_000;
+
 /** Largest body until a configuration sets one. */
 const DEFAULT_BODY_BYTES = 4_194_304;
 
@@ -287,10 +307,13 @@
     clock,
     log,
   });
-  const readiness: http.Server = createReadinessServer(() =>
-    callerServer.isReady(),
+  const boundedServer = boundedServers(clock, log, registry);
+  const readiness = boundedServer('readiness', INTERNAL_PORT_LIMITS, (_, res) =>
+    answerReadiness(callerServer.isReady(), res),
+  );
+  const metrics = boundedServer('metrics', INTERNAL_PORT_LIMITS, (req, res) =>
+    registry.handle(req, res),
   );
-  const metrics = createMetricsServer(registry);
   registry.registerGauge('boragemill_connections', () => connections.count);
   registry.registerGauge(
     'boragemill_held_bytes{of="bodies"}',
@@ -406,10 +429,15 @@
     clock,
     times.answerTimeoutMs,
   );
+  const {memoryBytes, maxFds} = deployment.machine;
+  const orderBodies = new BodyAccount(
+    divideMemory(memoryBytes, DEFAULT_BODY_BYTES).bodyBytes,
+  );
   const agent = new RankAgent(
     createEngineClient(endpoint, jsonClient),
     clock,
     log,
+    {memory: orderBodies, pace: new InputPace(clock)},
     (sidecar, reference) =>
       jsonClient.call(
         'POST',
@@ -502,8 +530,21 @@
     log,
     random: Math.random,
   });
-  const peers = http.createServer((req, res) => agent.handle(req, res));
   const registry = new MetricsRegistry();
+  const boundedServer = boundedServers(clock, log, registry);
+  const peers = boundedServer(
+    'orders',
+    {
+      connections: Math.min(
+        MAX_ORDER_CONNECTIONS,
+        Math.floor(callerDescriptors(maxFds) / ORDER_DESCRIPTORS),
+      ),
+      idleMs: ORDER_IDLE_MS,
+      readsBodies: true,
+    },
+    (req, res) => agent.handle(req, res),
+    () => orderBodies.advance(),
+  );
   registry.registerGauge('boragemill_coordinates', () =>
     Number(coordinator.isLeading()),
   );
@@ -511,7 +552,13 @@
     'boragemill_map_changes_total',
     () => coordinator.completedChanges,
   );
-  const metrics = createMetricsServer(registry);
+  const metrics = boundedServer('metrics', INTERNAL_PORT_LIMITS, (req, res) =>
+    registry.handle(req, res),
+  );
+  registry.registerGauge(
+    'boragemill_held_bytes{of="bodies"}',
+    () => orderBodies.heldBytes,
+  );
   const passes = new PassObserver(
     () => passTarget(catalog, service ?? ''),
     clock,
@@ -567,8 +614,27 @@
   return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
 
-function createMetricsServer(registry: MetricsRegistry): http.Server {
-  return http.createServer((req, res) => registry.handle(req, res));
+/** Servers of one process, which count and log on which port something happened. */
+function boundedServers(clock: Clock, log: Log, registry: MetricsRegistry) {
+  return (
+    port: string,
+    limits: BoundedServerLimits,
+    handle: http.RequestListener,
+    onSweep?: () => void,
+  ): http.Server =>
+    createBoundedServer(limits, handle, {
+      clock,
+      log: limitLog(
+        (level, event, fields) => log(level, event, {port, ...fields}),
+        clock,
+      ),
+      countClosed: reason =>
+        registry.increment('boragemill_connections_closed_total', {
+          port,
+          reason,
+        }),
+      onSweep,
+    });
 }
 
 /** Logs a failure to listen; callers are served without metrics too. */
--- a/test/coordinationmodel.ts
+++ b/test/coordinationmodel.ts
@@ -5,6 +5,8 @@
  * handle one message after another, as those of small machines do.
  */
 import http from 'node:http';
+import {InputPace} from '../src/gateway/bodyreader';
+import {BodyAccount} from '../src/gateway/memoryaccounts';
 import {Readable} from 'node:stream';
 import {VirtualClock} from '../bench/support/virtualclock';
 import {Clock, repeatEvery} from '../src/kernel/clock';
@@ -446,14 +448,19 @@
         const machine = new Machine(clock, shape);
         const caller = new SimulatedCaller(machine, at => this.nodes.get(at)!);
         const startAgent = () =>
-          new RankAgent(engine, clock, ignoreLog, (sidecar, reference) =>
-            caller.call(
-              'POST',
-              sidecar,
-              MAP_PATH,
-              {reference, passTo: []},
-              PASSED_MAP_TIMEOUT_MS,
-            ),
+          new RankAgent(
+            engine,
+            clock,
+            ignoreLog,
+            {memory: new BodyAccount(Infinity), pace: new InputPace(clock)},
+            (sidecar, reference) =>
+              caller.call(
+                'POST',
+                sidecar,
+                MAP_PATH,
+                {reference, passTo: []},
+                PASSED_MAP_TIMEOUT_MS,
+              ),
           );
         const agent = startAgent();
         const roundTrips = new RoundTrips();
