Load reports: bound the subscribers of a sidecar

Anybody may send a subscription, and each subscriber is sent reports. Above 2,048 a new one is dropped with a debug line. Not tested beyond the compiler and lint.

--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -44,6 +44,11 @@
 const SUBSCRIBE_CHECK_INTERVAL_MS = 100;
 /** Three subscriptions may be lost before a gateway is dropped. */
 const SUBSCRIPTION_TIMEOUT_MS = 7_000;
+/**
+ * Limit on subscribers; a further one gets no reports. Anybody may send a datagram,
+ * and each subscriber is sent four a second. A deployment has up to 1,400 instances.
+ */
+const MAX_SUBSCRIBERS = 2_048;
 /** Interval at which an unchanged load is sent again, in milliseconds. */
 const REPEAT_INTERVAL_MS = 500;
 /** Times that subscribers are told that an endpoint's process is gone. */
@@ -152,6 +157,12 @@
       if (body.kind === 'heartbeat') handleHeartbeat(body);
       if (body.kind === 'limit') this.limitPerS = body.limitPerS;
       if (body.kind !== 'subscribe') return;
+      const isKnown = this.subscribers.has(from.host);
+      if (!isKnown && this.subscribers.size >= MAX_SUBSCRIBERS) {
+        return log('debug', 'subscription dropped: too many', {
+          host: from.host,
+        });
+      }
       this.slots = body.slots ?? this.slots;
       const subscribedMs = this.clock.elapsedMs();
       this.subscribers.set(from.host, {...from, subscribedMs});
