--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -14,6 +14,12 @@
   applyEndpointChange,
   applyOperatorChange,
 } from './gateway/catalog';
+import {InputPace} from './gateway/bodyreader';
+import {CallerConnections} from './gateway/callerconnections';
+import {divideMemory} from './gateway/callermemory';
+import {callerDescriptors} from './gateway/connections';
+import {AnswerAccount, BodyAccount} from './gateway/memoryaccounts';
+import {limitLog} from './observe/loglimit';
 import {CrashMonitor} from './gateway/crashmonitor';
 import {RequestDispatcher} from './gateway/dispatcher';
 import {Exchange, requestDeadlineMs} from './gateway/exchange';
@@ -32,10 +38,11 @@
   LoadPublisher,
   LoadSubscriber,
 } from './gateway/loadreports';
-import {listenAt, createReadinessServer} from './gateway/readiness';
+import {answerReadiness, listenAt} from './gateway/readiness';
 import {StoreProgress} from './gateway/storeprogress';
 import {TableWatch} from './gateway/tablewatch';
 import {watchTimes} from './gateway/watchtimes';
+import {BoundedServerLimits, createBoundedServer} from './kernel/boundedserver';
 import {Clock, msSince, repeatEvery, systemClock, Timer} from './kernel/clock';
 import {JsonClient} from './kernel/jsonclient';
 import {LoopDelayMonitor} from './observe/loopdelay';
@@ -86,6 +93,27 @@
 
 /** Status of a request that was refused and has not run. */
 const NOT_RUN_STATUS = 503;
+/**
+ * A balancer and a scraper have a connection each, or several that overlap when
+ * they reconnect; both send requests without a body.
+ */
+const INTERNAL_PORT_LIMITS: BoundedServerLimits = {
+  connections: 12,
+  idleMs: 5_000,
+  readsBodies: false,
+};
+/**
+ * Connections of other sidecars: a coordinator has a few, and all sidecars of a
+ * large group may ask when it has changed.
+ */
+const MAX_ORDER_CONNECTIONS = 256;
+/** A sidecar has one such connection for so many descriptors. */
+const ORDER_DESCRIPTORS = 4;
+/** Sidecars send an order at once; their timeouts are shorter. */
+const ORDER_IDLE_MS = 5_000;
+
+/** Largest body until a configuration sets one. */
+const DEFAULT_BODY_BYTES = 4_194_304;
 
 /** How long a stopping entry still accepts requests, in milliseconds. */
 const DRAIN_ACCEPT_MS = 3_000;
@@ -197,14 +225,40 @@
   const loopDelay = new LoopDelayMonitor(clock, log, ms =>
     registry.recordDuration('boragemill_event_loop_delay_ms', ms),
   );
+  const {memoryBytes, maxFds} = deployment.machine;
+  const shares = divideMemory(memoryBytes, DEFAULT_BODY_BYTES);
+  const bodies = new BodyAccount(shares.bodyBytes);
+  const answers = new AnswerAccount(shares.answerBytes);
+  const callerLog = limitLog(log, clock);
+  const connections = new CallerConnections({
+    clock,
+    log: callerLog,
+    limits: {
+      connections: shares.connections,
+      descriptors: callerDescriptors(maxFds),
+    },
+    countClosed: reason =>
+      registry.increment('boragemill_connections_closed_total', {
+        port: 'callers',
+        reason,
+      }),
+    onSweep: () => bodies.advance(),
+  });
   const callerServer = new CallerServer({
+    connections,
+    limitedLog: callerLog,
+    bodies: {memory: bodies, pace: new InputPace(clock)},
     headers: platformHeaders,
     clock,
     log,
     catalog: () => dispatcher.currentCatalog(),
     submit: incoming =>
       dispatcher.submit(
-        new Exchange(incoming, dispatcher, {headers: platformHeaders, clock}),
+        new Exchange(incoming, dispatcher, {
+          headers: platformHeaders,
+          clock,
+          answers,
+        }),
       ),
     countRefusal: (status, reason) =>
       registry.increment('boragemill_refused_total', {
@@ -226,9 +280,11 @@
             () => dispatcher.waitingCount(priority),
           );
         }
-        const idleMs =
-          dispatcher.currentCatalog().configuration?.limits.idleTimeoutMs;
-        if (idleMs !== undefined) callerServer.setIdleTimeout(idleMs);
+        const {limits} = dispatcher.currentCatalog().configuration ?? {};
+        if (!limits) return;
+        callerServer.setLimits(limits);
+        const {bodyBytes} = divideMemory(memoryBytes, limits.bodyBytes);
+        bodies.setBudget(bodyBytes);
       },
       handleNoChange: asOf => dispatcher.handleOperatorConfirmation(asOf),
     },
@@ -288,8 +344,23 @@
     clock,
     log,
   });
-  const readiness: http.Server = createReadinessServer(() =>
-    callerServer.isReady(),
+  const boundedServer = boundedServers(clock, log, registry);
+  const readiness = boundedServer('readiness', INTERNAL_PORT_LIMITS, (_, res) =>
+    answerReadiness(callerServer.isReady(), res),
+  );
+  const metrics = boundedServer('metrics', INTERNAL_PORT_LIMITS, (req, res) => {
+    const [path] = (req.url ?? '').split('?', 1);
+    if (path === EXPLAIN_PATH) explanations.handle(req, res);
+    else registry.handle(req, res);
+  });
+  registry.registerGauge('boragemill_connections', () => connections.count);
+  registry.registerGauge(
+    'boragemill_held_bytes{of="bodies"}',
+    () => bodies.heldBytes,
+  );
+  registry.registerGauge(
+    'boragemill_held_bytes{of="answers"}',
+    () => answers.heldBytes,
   );
   const explain = (request: RequestDescription) =>
     explainRequest(request, deployment, {
@@ -297,10 +368,7 @@
       callerServer,
       clock,
     });
-  const metrics = createMetricsServer(
-    registry,
-    new ExplainHandler({explain, clock}),
-  );
+  const explanations = new ExplainHandler({explain, clock});
   registry.registerGauge(
     'boragemill_requests_in_flight',
     () => dispatcher.inFlight,
@@ -401,10 +469,15 @@
     clock,
     times.answerTimeoutMs,
   );
+  const {memoryBytes, maxFds} = deployment.machine;
+  const orderBodies = new BodyAccount(
+    divideMemory(memoryBytes, DEFAULT_BODY_BYTES).bodyBytes,
+  );
   const agent = new RankAgent(
     createEngineClient(endpoint, jsonClient),
     clock,
     log,
+    {memory: orderBodies, pace: new InputPace(clock)},
     (sidecar, reference) =>
       jsonClient.call(
         'POST',
@@ -499,8 +572,21 @@
     log,
     random: Math.random,
   });
-  const peers = http.createServer((req, res) => agent.handle(req, res));
   const registry = new MetricsRegistry();
+  const boundedServer = boundedServers(clock, log, registry);
+  const peers = boundedServer(
+    'orders',
+    {
+      connections: Math.min(
+        MAX_ORDER_CONNECTIONS,
+        Math.floor(callerDescriptors(maxFds) / ORDER_DESCRIPTORS),
+      ),
+      idleMs: ORDER_IDLE_MS,
+      readsBodies: true,
+    },
+    (req, res) => agent.handle(req, res),
+    () => orderBodies.advance(),
+  );
   const duties = wireDutyHolder({
     deployment,
     store,
@@ -520,7 +606,13 @@
     'boragemill_map_changes_total',
     () => coordinator.completedChanges,
   );
-  const metrics = createMetricsServer(registry);
+  const metrics = boundedServer('metrics', INTERNAL_PORT_LIMITS, (req, res) =>
+    registry.handle(req, res),
+  );
+  registry.registerGauge(
+    'boragemill_held_bytes{of="bodies"}',
+    () => orderBodies.heldBytes,
+  );
   const passes = new PassObserver(
     () =>
       currentTarget(passTarget(catalog, service ?? ''), publisher.heardTarget),
@@ -579,17 +671,6 @@
   return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
 
-function createMetricsServer(
-  registry: MetricsRegistry,
-  explanations?: ExplainHandler,
-): http.Server {
-  return http.createServer((req, res) => {
-    const [path] = (req.url ?? '').split('?', 1);
-    if (path === EXPLAIN_PATH && explanations) explanations.handle(req, res);
-    else registry.handle(req, res);
-  });
-}
-
 /** Runs the decisions of the data path for a request that is not sent. */
 function explainRequest(
   request: RequestDescription,
@@ -639,6 +720,29 @@
   };
 }
 
+/** Servers of one process, which count and log on which port something happened. */
+function boundedServers(clock: Clock, log: Log, registry: MetricsRegistry) {
+  return (
+    port: string,
+    limits: BoundedServerLimits,
+    handle: http.RequestListener,
+    onSweep?: () => void,
+  ): http.Server =>
+    createBoundedServer(limits, handle, {
+      clock,
+      log: limitLog(
+        (level, event, fields) => log(level, event, {port, ...fields}),
+        clock,
+      ),
+      countClosed: reason =>
+        registry.increment('boragemill_connections_closed_total', {
+          port,
+          reason,
+        }),
+      onSweep,
+    });
+}
+
 /** Logs a failure to listen; callers are served without metrics too. */
 async function listenForMetrics(
   server: http.Server,
--- a/test/runcounting.test.ts
+++ b/test/runcounting.test.ts
@@ -9,8 +9,11 @@
 import {expect} from 'chai';
 import {parseConfiguration} from '../platform/configuration';
 import {platformHeaders} from '../platform/headers';
+import {InputPace} from '../src/gateway/bodyreader';
+import {CallerConnections} from '../src/gateway/callerconnections';
 import {CallerServer} from '../src/gateway/callerserver';
 import {Exchange} from '../src/gateway/exchange';
+import {AnswerAccount, BodyAccount} from '../src/gateway/memoryaccounts';
 import {readInstant, systemClock} from '../src/kernel/clock';
 import {freePort, sendAsCaller} from '../standins/caller';
 import {
@@ -22,6 +25,8 @@
 import {createDispatcher, registeredEndpoint} from './deploymentmodel';
 
 const HOST = 'desk.example';
+/** Memory for bodies and for answers, far more than is used. */
+const HELD_BYTES = 10_000_000;
 /** A pass of the engine below, without other requests. */
 const PASS_MS = 60;
 
@@ -73,16 +78,32 @@
   before(async () => {
     await endpoint.start();
     entry = `127.0.0.1:${await freePort()}`;
+    const ignore = () => undefined;
+    const connections = new CallerConnections({
+      clock: systemClock,
+      log: ignore,
+      limits: {connections: 100, descriptors: 200},
+      countClosed: ignore,
+      onSweep: ignore,
+    });
+    const answers = new AnswerAccount(HELD_BYTES);
     caller = new CallerServer({
       headers: platformHeaders,
       clock: systemClock,
-      log: () => undefined,
+      log: ignore,
+      limitedLog: ignore,
+      connections,
+      bodies: {
+        memory: new BodyAccount(HELD_BYTES),
+        pace: new InputPace(systemClock),
+      },
       catalog: () => dispatcher.currentCatalog(),
       submit: incoming =>
         dispatcher.submit(
           new Exchange(incoming, dispatcher, {
             headers: platformHeaders,
             clock: systemClock,
+            answers,
           }),
         ),
       countRefusal: () => undefined,
