Own entry: bound connections and unfinished bodies of callers

Cause: the body parsers keep the pieces of each body until it is complete, and nothing bounded the sum, nor the connections.

Change: unfinished bodies of all callers count in one account, with the heap that a piece takes, and give way as on the platform; they get 503, not run. Connections are bounded, and one without a request is closed for a new one. New settings limits.unfinishedBytes (32 MiB) and limits.connections (1,000).

--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -22,6 +22,7 @@
   unstreamedReply,
 } from './replies';
 import {Caller, authenticate, KeyIndex} from './caller';
+import {CallerLimitGuard} from './callerlimits';
 import {Dispatcher} from './dispatch';
 import {IncomingRequest, ReplySink, RequestHandle} from './submission';
 import {TokenBuckets, chargeTokens} from './ratelimit';
@@ -37,6 +38,8 @@
   readonly entries: () => number;
   /** Whether this entry can serve callers. */
   readonly ready: () => boolean;
+  /** Called when the connection of a caller is closed because of a limit. */
+  readonly countClosed: (reason: string) => void;
 }
 
 const HEADER_TIMEOUT_MS = 5_000;
@@ -44,6 +47,8 @@
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 const REQUEST_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16_384;
+/** Retry-After of a request whose body gave way to others, in milliseconds. */
+const SHED_RETRY_AFTER_MS = 1_000;
 /** `/services/NAME/PATH`; the path may be missing. */
 const SERVICE_PATH = /^\/services\/([^/]+)(\/.*)?$/;
 /** Headers of a caller's request that are not passed to a plain service. */
@@ -59,6 +64,7 @@
 
 export class HttpServer {
   private readonly server: http.Server;
+  private readonly guard: CallerLimitGuard;
   private keyIndex: KeyIndex;
   private buckets: TokenBuckets = Map();
   private draining = false;
@@ -70,7 +76,15 @@
       requestTimeout: REQUEST_TIMEOUT_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
     };
-    this.server = http.createServer(options, this.createApp());
+    this.server = http.createServer(options);
+    const {settings, clock, log} = parts;
+    this.guard = new CallerLimitGuard({
+      settings: settings.limits,
+      clock,
+      log,
+      countClosed: parts.countClosed,
+    });
+    this.guard.attach(this.server, this.createApp());
     this.keyIndex = new KeyIndex(parts.activeRules.current().rules);
     parts.activeRules.watch(({rules}) => (this.keyIndex = new KeyIndex(rules)));
   }
@@ -104,6 +118,10 @@
     app.set('etag', false);
     app.get('/healthz', (req, res) => void res.json({ok: true}));
     app.get('/readyz', (req, res) => this.answerReadiness(res));
+    app.use((req, res, next) => {
+      this.guard.countBody(req, res, () => this.shedBody(req, res));
+      next();
+    });
     app.use('/v1', express.json({limit, type: () => true}));
     app.get('/v1/models', (req, res) => this.listModels(req, res));
     app.post('/v1/chat/completions', (req, res) =>
@@ -127,6 +145,15 @@
     return app;
   }
 
+  /** Refuses a request whose body gave way, and closes its connection. */
+  private shedBody(req: Request, res: Response): void {
+    const message = 'too many unfinished bodies; send the request again later';
+    const fault = createFault('not_run', message, SHED_RETRY_AFTER_MS);
+    res.shouldKeepAlive = false;
+    res.once('finish', () => req.destroy());
+    sendFault(res, newRequestId(), fault);
+  }
+
   private answerReadiness(res: Response): void {
     const ready = !this.draining && this.parts.ready();
     res.status(ready ? 200 : 503).json({ready});
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -63,6 +63,9 @@
   limits: z
     .strictObject({
       bodyBytes: z.number().int().min(1_024).default(4_194_304),
+      /** Bytes of all bodies together that have not arrived completely. */
+      unfinishedBytes: z.number().int().min(1_024).default(33_554_432),
+      connections: z.number().int().min(1).default(1_000),
       queuedBytesPerAccount: z.number().int().min(1_024).default(16_777_216),
       streamWindowBytes: z.number().int().min(1_024).default(16_384),
     })
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -220,6 +220,8 @@
       entries: () =>
         directory.instances().filter(i => i.role === 'entry').length,
       ready: () => rules.ready(),
+      countClosed: reason =>
+        k.get(SERVICE_KEYS.metrics).count('entry.connectionsClosed', 1, {reason}),
     });
   });
   return kernel;
