--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -57,12 +57,6 @@
  * of all processes, a poll then brings many of them, not one each.
  */
 const CHANGE_PAUSE_MS = 250;
-/**
- * Longest pause of a watch that does not lead, whose pauses double while each poll
- * brings changes. It is below the wait of the leading watch, so that a change in a
- * pause is not noticed later than one whose answer is lost.
- */
-const MAX_CHANGE_PAUSE_MS = 1_000;
 /** Longest time for which a watch leaves it to the leading one to call. */
 const MAX_RETRY_PAUSE_MS = 2_000;
 /** Interval at which a watch looks whether the store answers again. */
@@ -117,8 +111,8 @@
       try {
         const changed = await this.poll();
         this.recordSuccess();
-        this.pausedMs = changed ? this.changePauseMs() : 0;
-        if (changed) await this.sleep(this.pausedMs);
+        this.pausedMs = changed ? CHANGE_PAUSE_MS : 0;
+        if (changed) await this.sleep(CHANGE_PAUSE_MS);
       } catch (error) {
         if (this.stopped) return;
         if (error instanceof HistoryGoneError) {
@@ -198,15 +192,6 @@
     }
   }
 
-  /** The pause after a poll that brought changes. */
-  private changePauseMs(): number {
-    if (this.role?.leads ?? true) return CHANGE_PAUSE_MS;
-    return Math.min(
-      MAX_CHANGE_PAUSE_MS,
-      Math.max(CHANGE_PAUSE_MS, this.pausedMs * 2),
-    );
-  }
-
   /** The wait of the leading watch's next poll. */
   private leadingWaitMs(): number {
     // After a failure the answer shows at once that the store answers again.
