--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -572,11 +572,13 @@
     const found = this.servingFor(service, nowMs);
     const preference = this.promptPreference(
       service,
-      request.parts.map(({id, tokens}) => ({
-        id: servicePart(service, id),
-        tokens,
-      })),
-      request.promptTokens,
+      () => ({
+        parts: request.parts.map(({id, tokens}) => ({
+          id: servicePart(service, id),
+          tokens,
+        })),
+        promptTokens: request.promptTokens,
+      }),
       nowMs,
     );
     const explained =
@@ -842,8 +844,10 @@
         hasBacklog,
         this.promptPreference(
           service,
-          partsOf(exchange),
-          exchange.incoming.metadata.promptTokens,
+          () => ({
+            parts: partsOf(exchange),
+            promptTokens: exchange.incoming.metadata.promptTokens,
+          }),
           nowMs,
         ),
       ),
@@ -853,14 +857,15 @@
   /** Undefined for requests and services to which it does not apply. */
   private promptPreference(
     service: string,
-    parts: readonly PromptPart[],
-    promptTokens: number | undefined,
+    readPrompt: () => Pick<PlacementRequest, 'parts' | 'promptTokens'>,
     nowMs: number,
   ): PromptPreference | undefined {
     const {cachedPrompts} = this.settings;
-    if (!cachedPrompts || parts.length === 0) return undefined;
     const engine = this.catalog.services.get(service)?.engine;
-    if (engine?.readTokensPerS === undefined) return undefined;
+    if (!cachedPrompts || engine?.readTokensPerS === undefined)
+      return undefined;
+    const {parts, promptTokens} = readPrompt();
+    if (parts.length === 0) return undefined;
     const cache = this.promptCache;
     return {
       engine,
