Test stand-ins: give no port to two stand-ins of one run

Stand-ins listened on port 0, so the system could give the port of a store that had stopped to an endpoint of a later scene, and a poll of that store reached it. A tracer of refused connections over one whole run saw 69 polls of stores that had stopped, all in this file. That the port was given out anew is inferred from the request and these polls; the one failure left no trace of it.

All stand-ins now take ports from one counter below the system's range, so a port comes back after 20,000 others.

--- a/standins/caller.ts
+++ b/standins/caller.ts
@@ -3,7 +3,7 @@
  * connection of its own and collects the answer.
  */
 import http from 'node:http';
-import net from 'node:net';
+import type net from 'node:net';
 
 export interface Reply {
   readonly status: number;
@@ -56,27 +56,3 @@
     sent.end(body);
   });
 }
-
-/**
- * Ports below those that the system gives to outgoing connections, one of which
- * could otherwise take a free port before it is listened on.
- */
-const FIRST_PORT = 12_000;
-const PORTS = 20_000;
-let nextPort = (process.pid * 64) % PORTS;
-
-/** A port of the loopback interface that was free a moment ago. */
-export async function freePort(): Promise<number> {
-  for (;;) {
-    const port = FIRST_PORT + nextPort;
-    nextPort = (nextPort + 1) % PORTS;
-    const server = net.createServer();
-    const isFree = await new Promise<boolean>(done => {
-      server.once('error', () => done(false));
-      server.listen(port, '127.0.0.1', () => done(true));
-    });
-    if (!isFree) continue;
-    await new Promise(done => server.close(done));
-    return port;
-  }
-}
--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -4,7 +4,7 @@
  * invariant ONE of docs/design/overview.md.
  */
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
+import {listen} from './ports';
 
 export interface DutyCall {
   /** When the platform executed the call, in milliseconds. */
@@ -89,10 +89,7 @@
   );
 
   async start(): Promise<string> {
-    await new Promise<void>(done =>
-      this.server.listen(0, '127.0.0.1', () => done()),
-    );
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     return `127.0.0.1:${port}`;
   }
 
--- a/standins/endpoint.ts
+++ b/standins/endpoint.ts
@@ -3,7 +3,7 @@
  * function that the test sets; the requests are recorded.
  */
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
+import {listen} from './ports';
 
 export interface ReceivedRequest {
   readonly method: string;
@@ -24,6 +24,9 @@
   arrival: ReceivedRequest,
 ): http.OutgoingHttpHeaders {
   const id = arrival.headers['boragemill-request-id'];
+  if (id === undefined) {
+    throw new Error(`no request id: ${arrival.method} ${arrival.path}`);
+  }
   return {'Boragemill-Request-Id': id, 'Boragemill-Response-Seal': `s.${id}`};
 }
 
@@ -68,11 +71,11 @@
 
   /** Listens on a free port or, after a stop, on the port that it had. */
   async start(): Promise<void> {
-    const earlierPort = Number(this.address.split(':')[1] ?? 0);
-    await new Promise<void>(done =>
-      this.server.listen(earlierPort, '127.0.0.1', () => done()),
+    const earlierPort = this.address.split(':')[1];
+    const port = await listen(
+      this.server,
+      earlierPort === undefined ? undefined : Number(earlierPort),
     );
-    const {port} = this.server.address() as AddressInfo;
     this.address = `127.0.0.1:${port}`;
   }
 
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -10,9 +10,9 @@
  */
 import {createHash, randomUUID} from 'node:crypto';
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
 import express, {Request, Response} from 'express';
 import {KvTransferOptions, receiveBlocks, sendBlocks} from './kvtransfer';
+import {listen} from './ports';
 
 export interface EngineOptions {
   readonly stepMs: number;
@@ -105,7 +105,7 @@
   }
 
   /** Starts on a loopback port, ephemeral by default; returns the base URL. */
-  async start(onPort = 0): Promise<string> {
+  async start(onPort?: number): Promise<string> {
     const app = express();
     app.use(express.json({limit: '16mb'}));
     app.post('/generate', (req, res) => this.startRequest(req, res));
@@ -123,10 +123,7 @@
     app.put('/kv', (req, res) => void this.importKv(req, res));
     app.get('/state', (req, res) => void res.json(this.state()));
     this.server = http.createServer(app);
-    await new Promise<void>(done =>
-      this.server!.listen(onPort, '127.0.0.1', done),
-    );
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server, onPort);
     this.port = port;
     return `http://127.0.0.1:${port}`;
   }
--- a/standins/network.ts
+++ b/standins/network.ts
@@ -8,6 +8,7 @@
  * because bytes on them are lost.
  */
 import net from 'node:net';
+import {listen} from './ports';
 
 interface Relay {
   readonly from: string;
@@ -96,7 +97,7 @@
       target.on('data', data => caller.write(data));
       this.pauseCutDirections();
     });
-    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    await listen(server);
     return {from, to, port, server, connections};
   }
 
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -7,9 +7,9 @@
  * process.
  */
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
 import express, {Request, Response} from 'express';
 import {Condition, InstanceRecord, Row, Write} from '../src/platform/client';
+import {listen} from './ports';
 
 export interface Faults {
   down: boolean;
@@ -96,8 +96,7 @@
       else res.type('text/plain').send(body);
     });
     this.server = http.createServer(app);
-    await new Promise<void>(done => this.server!.listen(0, '127.0.0.1', done));
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     return `http://127.0.0.1:${port}`;
   }
 
--- a/standins/rankgroup.ts
+++ b/standins/rankgroup.ts
@@ -9,7 +9,6 @@
  */
 import {randomUUID} from 'node:crypto';
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
 import express, {Request, Response} from 'express';
 import {mapKey, MapOrder} from '../src/experts/group';
 import {
@@ -19,6 +18,7 @@
   rankLoads,
   Shape,
 } from '../src/experts/map';
+import {listen} from './ports';
 
 export interface RankGroupOptions {
   readonly shape: Shape;
@@ -83,8 +83,7 @@
       res.json({});
     });
     this.server = http.createServer(app);
-    await new Promise<void>(done => this.server!.listen(0, '127.0.0.1', done));
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     return `http://127.0.0.1:${port}`;
   }
 
--- a/standins/rawendpoint.ts
+++ b/standins/rawendpoint.ts
@@ -2,7 +2,8 @@
  * Stand-in for an endpoint that answers with bytes of the test's choice, which
  * need not be a valid answer.
  */
-import net, {AddressInfo} from 'node:net';
+import net from 'node:net';
+import {listen} from './ports';
 
 /** Answers the request with an id on its connection. */
 export type RawAnswer = (requestId: string, socket: net.Socket) => void;
@@ -46,10 +47,7 @@
   });
 
   async start(): Promise<void> {
-    await new Promise<void>(done =>
-      this.server.listen(0, '127.0.0.1', () => done()),
-    );
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     this.address = `127.0.0.1:${port}`;
   }
 
--- a/standins/repeatedanswer.ts
+++ b/standins/repeatedanswer.ts
@@ -3,7 +3,8 @@
  * answer of the same connection once more.
  */
 import http from 'node:http';
-import {AddressInfo, Socket} from 'node:net';
+import {Socket} from 'node:net';
+import {listen} from './ports';
 
 export interface StandinAnswer {
   readonly status: number;
@@ -32,8 +33,7 @@
   constructor(private readonly answer: AnswerRequest) {}
 
   async start(): Promise<void> {
-    await new Promise<void>(done => this.server.listen(0, '127.0.0.1', done));
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     this.address = `127.0.0.1:${port}`;
   }
 
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -5,8 +5,8 @@
  * the order again, and the executions of each order reference are counted.
  */
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
 import express from 'express';
+import {listen} from './ports';
 
 export class ServiceStandin {
   /** Executions of `POST /orders`, by the body's `reference`. */
@@ -22,7 +22,7 @@
   private server: http.Server | undefined;
 
   /** Starts on a loopback port, ephemeral by default; returns the base URL. */
-  async start(onPort = 0): Promise<string> {
+  async start(onPort?: number): Promise<string> {
     const app = express();
     app.use(express.json());
     app.use((req, res, next) => {
@@ -48,10 +48,7 @@
       res.json(Object.fromEntries(this.executions));
     });
     this.server = http.createServer(app);
-    await new Promise<void>(done =>
-      this.server!.listen(onPort, '127.0.0.1', done),
-    );
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server, onPort);
     return `http://127.0.0.1:${port}`;
   }
 
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -4,7 +4,7 @@
  * Tests switch faults on.
  */
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
+import {listen} from './ports';
 
 interface Row {
   readonly table: string;
@@ -36,10 +36,7 @@
   );
 
   async start(): Promise<string> {
-    await new Promise<void>(done =>
-      this.server.listen(0, '127.0.0.1', () => done()),
-    );
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     return `127.0.0.1:${port}`;
   }
 
--- a/standins/tcpproxy.ts
+++ b/standins/tcpproxy.ts
@@ -2,7 +2,8 @@
  * Stand-in for the network between a process and a server: a TCP proxy whose
  * connections can be held up or go silent for good.
  */
-import net, {AddressInfo} from 'node:net';
+import net from 'node:net';
+import {listen} from './ports';
 
 interface Pair {
   readonly near: net.Socket;
@@ -20,8 +21,7 @@
   /** Listens in front of `target`, an `IP:port`. */
   async start(target: string): Promise<string> {
     this.target = target;
-    await new Promise<void>(done => this.server.listen(0, '127.0.0.1', done));
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     this.address = `127.0.0.1:${port}`;
     return this.address;
   }
--- a/standins/weightstore.ts
+++ b/standins/weightstore.ts
@@ -6,8 +6,8 @@
  * rate limit. The weights themselves are not sent.
  */
 import http from 'node:http';
-import {AddressInfo} from 'node:net';
 import express from 'express';
+import {listen} from './ports';
 
 export interface WeightOptions {
   readonly bytesPerS: number;
@@ -29,8 +29,7 @@
       this.scheduleTransfer(() => res.json({layer, expert}));
     });
     this.server = http.createServer(app);
-    await new Promise<void>(done => this.server!.listen(0, '127.0.0.1', done));
-    const {port} = this.server.address() as AddressInfo;
+    const port = await listen(this.server);
     return `http://127.0.0.1:${port}`;
   }
 
--- a/test/dutysidecars.test.ts
+++ b/test/dutysidecars.test.ts
@@ -13,7 +13,7 @@
 import {createStoreClient} from '../platform/store';
 import {CloudStandin, oneViolations} from '../standins/cloud';
 import {EndpointStandin} from '../standins/endpoint';
-import {freePort} from '../standins/caller';
+import {freePort} from '../standins/ports';
 import {StoreStandin} from '../standins/store';
 import {platformDeployment} from './platformentries';
 
--- a/test/loadreports.test.ts
+++ b/test/loadreports.test.ts
@@ -12,7 +12,7 @@
 } from '../src/gateway/loadreports';
 import {systemClock} from '../src/kernel/clock';
 import {waitUntil} from '../standins/binaryprocess';
-import {freePort} from '../standins/caller';
+import {freePort} from '../standins/ports';
 
 const ADDRESS = '127.0.0.2:8000';
 const LOAD = {
--- a/test/oddmessages.test.ts
+++ b/test/oddmessages.test.ts
@@ -10,7 +10,7 @@
 import {expect} from 'chai';
 import * as fc from 'fast-check';
 import {waitUntil} from '../standins/binaryprocess';
-import {freePort} from '../standins/caller';
+import {freePort} from '../standins/ports';
 import {EndpointStandin} from '../standins/endpoint';
 import {StoreStandin} from '../standins/store';
 import {Program} from '../src/kernel/program';
--- a/test/oddregistrations.test.ts
+++ b/test/oddregistrations.test.ts
@@ -16,7 +16,8 @@
 import {systemClock} from '../src/kernel/clock';
 import {wirePlatformSidecar} from '../src/wiring-platform';
 import {waitUntil} from '../standins/binaryprocess';
-import {freePort, Reply, sendAsCaller} from '../standins/caller';
+import {Reply, sendAsCaller} from '../standins/caller';
+import {freePort} from '../standins/ports';
 import {answerWith, EndpointStandin} from '../standins/endpoint';
 import {StoreStandin} from '../standins/store';
 import {
@@ -214,6 +215,9 @@
   }
 });
 
+/** Time in which an entry leaves an endpoint, of its settings. */
+const DRAIN_MS = 2_000;
+
 describe('registrations that are not valid in the store', () => {
   const store = new StoreStandin();
   const endpoint = new EndpointStandin();
@@ -237,10 +241,14 @@
     });
   }
 
-  async function waitForStatus(status: number): Promise<void> {
+  async function waitForStatus(
+    status: number,
+    withinMs?: number,
+  ): Promise<void> {
     await waitUntil(
       async () => (await send()).status === status,
       `status ${status}`,
+      withinMs,
     );
   }
 
@@ -271,7 +279,9 @@
       limits: {},
     });
     await endpoint.start();
-    [entry] = (await startEntries(1, storeAddress)) as [PlatformEntry];
+    [entry] = (await startEntries(1, storeAddress, {
+      drainMs: DRAIN_MS,
+    })) as [PlatformEntry];
     register();
     await waitForStatus(200);
   });
@@ -352,8 +362,9 @@
       'i-1',
       withField('address', '"127.0.0.1:70000"', registration()),
     );
-    // The store sends the change at once.
-    await new Promise(done => setTimeout(done, 200));
+    // The store sends the change at once; a watch that has just read another one
+    // pauses for 250 ms. The bound is drain-ms, as for an endpoint that leaves.
+    await waitForStatus(503, DRAIN_MS);
     const received = endpoint.receivedRequests.length;
     const replies = await Promise.all(Array.from({length: 20}, send));
     expect(endpoint.receivedRequests).to.have.length(received);
--- a/test/passtarget.test.ts
+++ b/test/passtarget.test.ts
@@ -16,7 +16,7 @@
   PassTarget,
 } from '../src/ranks/passtarget';
 import {waitUntil} from '../standins/binaryprocess';
-import {freePort} from '../standins/caller';
+import {freePort} from '../standins/ports';
 
 const ENGINE = {slots: 7, stepsPerPass: 7, stepMs: 4.84, perRequestMs: 0.6214};
 
--- a/test/platformentries.ts
+++ b/test/platformentries.ts
@@ -2,7 +2,7 @@
 import {Deployment} from '../platform/settings';
 import {Program} from '../src/kernel/program';
 import {wirePlatformEntry} from '../src/wiring-platform';
-import {freePort} from '../standins/caller';
+import {freePort} from '../standins/ports';
 
 export interface PlatformEntry {
   readonly program: Program;
--- a/test/platformpath.test.ts
+++ b/test/platformpath.test.ts
@@ -9,7 +9,8 @@
 import {Program} from '../src/kernel/program';
 import {wirePlatformEntry} from '../src/wiring-platform';
 import {waitUntil} from '../standins/binaryprocess';
-import {freePort, Reply, sendAsCaller} from '../standins/caller';
+import {Reply, sendAsCaller} from '../standins/caller';
+import {freePort} from '../standins/ports';
 import {
   answerWith,
   ReceivedRequest,
--- a/test/processes/callercrowd.test.ts
+++ b/test/processes/callercrowd.test.ts
@@ -9,7 +9,8 @@
  * crowd, while its connections are still open, one ordinary request is answered.
  */
 import {expect} from 'chai';
-import {freePort, sendAsCaller} from '../../standins/caller';
+import {sendAsCaller} from '../../standins/caller';
+import {freePort} from '../../standins/ports';
 import {EndpointStandin, sealedHeaders} from '../../standins/endpoint';
 import {METRICS_PORT, PlatformProcess} from '../../standins/platformprocess';
 import {chunk, RawCaller, repeated, untilQuiet} from '../../standins/rawcaller';
--- a/test/runcounting.test.ts
+++ b/test/runcounting.test.ts
@@ -15,7 +15,8 @@
 import {Exchange} from '../src/gateway/exchange';
 import {AnswerAccount, BodyAccount} from '../src/gateway/memoryaccounts';
 import {readInstant, systemClock} from '../src/kernel/clock';
-import {freePort, sendAsCaller} from '../standins/caller';
+import {sendAsCaller} from '../standins/caller';
+import {freePort} from '../standins/ports';
 import {
   EndpointStandin,
   ReceivedRequest,
--- a/test/usagemessage.test.ts
+++ b/test/usagemessage.test.ts
@@ -16,7 +16,7 @@
 import {LoadPublisher, LoadSubscriber} from '../src/gateway/loadreports';
 import {systemClock} from '../src/kernel/clock';
 import {waitUntil} from '../standins/binaryprocess';
-import {freePort} from '../standins/caller';
+import {freePort} from '../standins/ports';
 
 const SENDER = {entry: 'e', processStartMs: 1, zone: 'z1', begunWindow: 7};
 
