Own interface: read bodies in one buffer before the parsers see them

Express's parsers keep every piece, with a string or a slice of the read buffer for each; the count of 512 bytes a piece bounded what was kept, but not what the collector had not yet freed.

Bodies are now read as on the platform, into one buffer that grows and with pauses between small chunks, and given to the parsers whole. A body over the limit closes its connection after the 413.

--- a/src/entry/callerlimits.ts
+++ b/src/entry/callerlimits.ts
@@ -2,12 +2,13 @@
  * What callers of the product's own interface may hold together.
  *
  * Answers the load of many callers that each stay within the limit on one body, but
- * stop just short of its end, or open connections without using them. The body
- * parsers keep the pieces of a body until it is complete, so each piece counts with
- * what it costs besides its bytes. What gives way is decided as on the platform
- * (`callermemory.ts`, `connections.ts`).
+ * stop just short of its end, or open connections without using them. What gives way
+ * is decided as on the platform (`callermemory.ts`, `connections.ts`).
  */
 import http from 'node:http';
+import {Readable} from 'node:stream';
+import {Request, RequestHandler} from 'express';
+import {InputPace, readBody} from '../gateway/bodyreader';
 import {CallerConnections, CloseReason} from '../gateway/callerconnections';
 import {BodyAccount} from '../gateway/memoryaccounts';
 import {Clock} from '../kernel/clock';
@@ -29,16 +30,23 @@
   readonly countClosed: (reason: CloseReason) => void;
 }
 
-/** Heap that a piece of a body takes besides its bytes; Node slices buffers. */
-const PIECE_BYTES = 512;
+export interface BodyReadOptions {
+  readonly maxBytes: number;
+  /** Called in place of the parser if the body is larger than `maxBytes`. */
+  readonly onLarge: RequestHandler;
+  /** Called in place of the parser if the body gives way to others. */
+  readonly onShed: RequestHandler;
+}
 
 export class CallerLimitGuard {
   private readonly bodies: BodyAccount;
   private readonly connections: CallerConnections;
+  private readonly pace: InputPace;
 
   constructor({settings, clock, log, countClosed}: CallerLimitDependencies) {
     const {bodyBytes, unfinishedBytes, connections} = settings;
-    // One body of the largest size fits, also in small pieces of a network.
+    this.pace = new InputPace(clock);
+    // One body of the largest size fits beside the buffer that it grows out of.
     this.bodies = new BodyAccount(Math.max(unfinishedBytes, 2 * bodyBytes));
     this.connections = new CallerConnections({
       clock,
@@ -64,31 +72,45 @@
   }
 
   /**
-   * Counts the body of a request until it is whole. `onShed` is called if it gives
-   * way; nothing more of it may be kept then.
+   * Reads the body of a request whole, in one buffer, before `parse` reads it: Express's
+   * parsers keep the pieces as they come, and a piece of one byte takes hundreds of
+   * bytes of heap.
    */
-  countBody(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    onShed: () => void,
-  ): void {
-    if (!hasBody(req)) return;
-    let isShed = false;
-    const shed = () => {
-      if (isShed) return;
-      isShed = true;
-      holding.release();
-      onShed();
+  readWhole(
+    parse: RequestHandler,
+    {maxBytes, onLarge, onShed}: BodyReadOptions,
+  ): RequestHandler {
+    return (req, res, next) => {
+      if (!hasBody(req)) {
+        parse(req, res, next);
+        return;
+      }
+      const {bodies: memory, pace} = this;
+      const account = req.socket.remoteAddress ?? '';
+      const reading = readBody(
+        req,
+        {memory, pace},
+        {account, maxBytes},
+        outcome => {
+          if (outcome.kind === 'large') onLarge(req, res, next);
+          if (outcome.kind === 'shed') onShed(req, res, next);
+          if (outcome.kind !== 'whole') return;
+          const source = Object.assign(
+            Readable.from([outcome.body ?? Buffer.alloc(0)]),
+            {
+              headers: req.headers,
+              body: undefined,
+            },
+          );
+          parse(source as unknown as Request, res, error => {
+            req.body = source.body;
+            // Whole bodies are bounded where requests wait, by account.
+            reading.release();
+            next(error);
+          });
+        },
+      );
     };
-    const holding = this.bodies.open(req.socket.remoteAddress ?? '', shed);
-    req.on('data', (piece: Buffer) => {
-      if (isShed) return;
-      holding.recordProgress(piece.length);
-      if (!holding.grow(piece.length + PIECE_BYTES)) shed();
-    });
-    // Whole bodies are bounded where requests wait, by account.
-    req.once('end', () => holding.release());
-    res.once('close', () => holding.release());
   }
 }
 
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -22,7 +22,7 @@
   unstreamedReply,
 } from './replies';
 import {Caller, authenticate, KeyIndex} from './caller';
-import {CallerLimitGuard} from './callerlimits';
+import {BodyReadOptions, CallerLimitGuard} from './callerlimits';
 import {Dispatcher} from './dispatch';
 import {IncomingRequest, ReplySink, RequestHandle} from './submission';
 import {TokenBuckets, chargeTokens} from './ratelimit';
@@ -118,11 +118,16 @@
     app.set('etag', false);
     app.get('/healthz', (req, res) => void res.json({ok: true}));
     app.get('/readyz', (req, res) => this.answerReadiness(res));
-    app.use((req, res, next) => {
-      this.guard.countBody(req, res, () => this.shedBody(req, res));
-      next();
-    });
-    app.use('/v1', express.json({limit, type: () => true}));
+    const readOptions: BodyReadOptions = {
+      maxBytes: limit,
+      onLarge: (req, res) => {
+        closeAfterAnswer(req, res);
+        sendFault(res, newRequestId(), largeBodyFault(limit));
+      },
+      onShed: (req, res) => this.shedBody(req, res),
+    };
+    const parseJson = express.json({limit, type: () => true});
+    app.use('/v1', this.guard.readWhole(parseJson, readOptions));
     app.get('/v1/models', (req, res) => this.listModels(req, res));
     app.post('/v1/chat/completions', (req, res) =>
       this.handleModelCall('chat', req, res),
@@ -130,7 +135,8 @@
     app.post('/v1/completions', (req, res) =>
       this.handleModelCall('completion', req, res),
     );
-    app.use('/services', express.raw({limit, type: () => true}));
+    const parseRaw = express.raw({limit, type: () => true});
+    app.use('/services', this.guard.readWhole(parseRaw, readOptions));
     app.use('/services', (req, res) => this.handleServiceCall(req, res));
     app.use((req, res) => {
       const message = `nothing at ${req.path}; see the interface for callers`;
@@ -149,8 +155,7 @@
   private shedBody(req: Request, res: Response): void {
     const message = 'too many unfinished bodies; send the request again later';
     const fault = createFault('not_run', message, SHED_RETRY_AFTER_MS);
-    res.shouldKeepAlive = false;
-    res.once('finish', () => req.destroy());
+    closeAfterAnswer(req, res);
     sendFault(res, newRequestId(), fault);
   }
 
@@ -316,9 +321,17 @@
 
 function bodyFault(error: unknown, limit: number): Fault {
   const {type} = error as {type?: string};
-  if (type === 'entity.too.large') {
-    const message = `the body is over ${limit} bytes; send a smaller one`;
-    return createFault('too_large', message);
-  }
+  if (type === 'entity.too.large') return largeBodyFault(limit);
   return createFault('malformed', 'the body is not readable; send valid JSON');
 }
+
+function largeBodyFault(limit: number): Fault {
+  const message = `the body is over ${limit} bytes; send a smaller one`;
+  return createFault('too_large', message);
+}
+
+/** For a request whose body is not read any further. */
+function closeAfterAnswer(req: Request, res: Response): void {
+  res.shouldKeepAlive = false;
+  res.once('finish', () => req.destroy());
+}
