Caller connections: keep one that was refused early, end unread refusals

Tests with drawn times on a model clock found two faults.

A request may be refused, for instance with 401, before its body has been sent. The rest of that body was taken for the beginning of another request, so a caller that was then idle for 4 s lost its connection with "headers incomplete", although callers may be idle for 12 s. Bytes are now counted from where the body has ended.

A refusal after which the connection stays open was not watched: a caller that stopped reading such answers kept its connection, and the answers in it, for good. It is now closed with "answer not read" after the idle time, as for other answers.

--- a/src/gateway/callerconnections.ts
+++ b/src/gateway/callerconnections.ts
@@ -61,8 +61,11 @@
   /** The last request that was handled. */
   last: http.IncomingMessage | undefined;
   bytesRead: number;
-  /** `bytesRead` when the last request had been read whole. */
-  bytesBeforeHead: number;
+  /**
+   * `bytesRead` when the last request had been read whole; undefined while its body
+   * is incomplete.
+   */
+  bytesBeforeHead: number | undefined;
   /** When the sweep first saw a part of the next request's headers. */
   headSinceMs: number | undefined;
   onStall: (() => void) | undefined;
@@ -194,7 +197,11 @@
     connection.onStall = undefined;
     if (connection.socket.destroyed) return;
     this.setPhase(connection, 'idle');
-    connection.bytesBeforeHead = connection.socket.bytesRead;
+    // A refusal may be complete before the body has been read; the rest of that is
+    // not the beginning of another request.
+    connection.bytesBeforeHead = connection.last?.complete
+      ? connection.socket.bytesRead
+      : undefined;
     connection.progressMs = this.deps.clock.elapsedMs();
     connection.requests[0]?.start();
   }
@@ -267,8 +274,9 @@
       else this.close(connection, 'body incomplete');
       return;
     }
-    // A request that has been read whole is about to be submitted or refused.
-    if (phase === 'reading') return;
+    // A request that has been read whole is about to be submitted, or was refused.
+    if (phase === 'reading') return this.checkAnswer(connection, nowMs);
+    connection.bytesBeforeHead ??= bytesRead;
     if (bytesRead === connection.bytesBeforeHead) return;
     connection.headSinceMs ??= nowMs;
     if (nowMs - connection.headSinceMs <= HEADERS_TIMEOUT_MS) return;
