--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -15,6 +15,8 @@
   readonly subject: string;
   /** Window and counts of a report. */
   readonly report?: {readonly window: number; readonly counts: string};
+  /** Number of endpoints that a scaling order asks for. */
+  readonly desired?: number;
   /** Whether ONE excuses the call, which the test knows. */
   readonly isExcused?: boolean;
 }
@@ -141,7 +143,7 @@
               counts: JSON.stringify(body.counts),
             },
           }
-        : {}),
+        : {desired: Number(body.desired)}),
     };
     const isOutdated = this.calls.some(
       c => c.subject === call.subject && c.token > token,
--- a/standins/endpoint.ts
+++ b/standins/endpoint.ts
@@ -67,7 +67,11 @@
     });
   });
 
-  constructor(public handler: RequestHandler = answerWith('done')) {}
+  constructor(
+    public handler: RequestHandler = answerWith('done'),
+    /** Loopback address, for endpoints that have a sidecar each. */
+    private readonly host = '127.0.0.1',
+  ) {}
 
   /** Listens on a free port or, after a stop, on the port that it had. */
   async start(): Promise<void> {
@@ -75,8 +79,9 @@
     const port = await listen(
       this.server,
       earlierPort === undefined ? undefined : Number(earlierPort),
+      this.host,
     );
-    this.address = `127.0.0.1:${port}`;
+    this.address = `${this.host}:${port}`;
   }
 
   get isRunning(): boolean {
--- a/standins/ports.ts
+++ b/standins/ports.ts
@@ -32,29 +32,34 @@
 }
 
 /**
- * Listens on a free port, or on `port` if it is given. Returns the port. Rejects if
- * `port` is in use.
+ * Listens on a free port, or on `port` if it is given, of a loopback address.
+ * Returns the port. Rejects if `port` is in use.
  */
 export async function listen(
   server: net.Server,
   port?: number,
+  host = '127.0.0.1',
 ): Promise<number> {
   for (;;) {
     const chosen = port ?? (await freePort());
-    if (await tryListen(server, chosen)) return chosen;
+    if (await tryListen(server, chosen, host)) return chosen;
     if (port !== undefined) throw new Error(`port ${port} is in use`);
   }
 }
 
 /** False if the port has been taken. */
-function tryListen(server: net.Server, port: number): Promise<boolean> {
+function tryListen(
+  server: net.Server,
+  port: number,
+  host: string,
+): Promise<boolean> {
   return new Promise((resolve, reject) => {
     const fail = (error: NodeJS.ErrnoException) => {
       if (error.code === 'EADDRINUSE') resolve(false);
       else reject(error);
     };
     server.once('error', fail);
-    server.listen(port, '127.0.0.1', () => {
+    server.listen(port, host, () => {
       server.off('error', fail);
       resolve(true);
     });
