Duties: test calls that are held up while the duties pass on

A call that the link holds is not delivered after the end of its lease or of its time. No product change.

The TCP proxy can hold what clients send, and the stand-in of the cloud records calls that fencing rejects.

--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -83,6 +83,8 @@
   /** Calls a second from all instances together. */
   callsPerS = 50;
   readonly calls: DutyCall[] = [];
+  /** Calls that were not executed because of their token. */
+  readonly rejected: DutyCall[] = [];
   /** Answered statuses, 0 for a call without an answer. */
   readonly statuses: number[] = [];
   private receivedMs: readonly number[] = [];
@@ -148,7 +150,10 @@
     const isOutdated = this.calls.some(
       c => c.subject === call.subject && c.token > token,
     );
-    if (isOutdated && this.enforcesFencing) return 409;
+    if (isOutdated && this.enforcesFencing) {
+      this.rejected.push(call);
+      return 409;
+    }
     this.calls.push(call);
     return 200;
   }
--- a/standins/tcpproxy.ts
+++ b/standins/tcpproxy.ts
@@ -9,6 +9,8 @@
   readonly near: net.Socket;
   readonly far: net.Socket;
   isSilent: boolean;
+  /** What the client has sent and the server has not been given yet. */
+  readonly held: Buffer[];
 }
 
 export class TcpProxy {
@@ -16,6 +18,7 @@
   private target = '';
   private readonly pairs = new Set<Pair>();
   private isHeld = false;
+  private holdsCalls = false;
   private readonly server = net.createServer(near => this.accept(near));
 
   /** Listens in front of `target`, an `IP:port`. */
@@ -57,22 +60,42 @@
     for (const {far} of this.pairs) far.pause();
   }
 
+  /**
+   * Holds what clients send until `release` is called, as a link that is cut does: a
+   * connection that its client closed in order still delivers it then, one that the
+   * client reset does not.
+   */
+  holdCalls(): void {
+    this.holdsCalls = true;
+  }
+
   release(): void {
     this.isHeld = false;
-    for (const {far} of this.pairs) far.resume();
+    this.holdsCalls = false;
+    for (const pair of [...this.pairs]) {
+      const {near, far, held} = pair;
+      far.resume();
+      for (const chunk of held.splice(0)) far.write(chunk);
+      if (!near.destroyed) continue;
+      far.end();
+      this.pairs.delete(pair);
+    }
   }
 
   private accept(near: net.Socket): void {
     const [host, port] = this.target.split(':');
     const far = net.connect(Number(port), host!);
-    const pair = {near, far, isSilent: false};
+    const pair: Pair = {near, far, isSilent: false, held: []};
     this.pairs.add(pair);
     near.on('data', chunk => {
-      if (!pair.isSilent) far.write(chunk);
+      if (pair.isSilent) return;
+      if (this.holdsCalls) pair.held.push(chunk);
+      else far.write(chunk);
     });
     far.on('data', chunk => near.write(chunk));
     if (this.isHeld) far.pause();
-    near.on('close', () => {
+    near.on('close', isReset => {
+      if (!isReset && pair.held.length > 0) return;
       this.pairs.delete(pair);
       far.destroy();
     });
