--- a/standins/cloud.ts
+++ b/standins/cloud.ts
@@ -15,6 +15,8 @@
   readonly subject: string;
   /** Window and counts of a report. */
   readonly report?: {readonly window: number; readonly counts: string};
+  /** Number of endpoints that a scaling order asks for. */
+  readonly desired?: number;
   /** Whether ONE excuses the call, which the test knows. */
   readonly isExcused?: boolean;
 }
@@ -81,6 +83,8 @@
   /** Calls a second from all instances together. */
   callsPerS = 50;
   readonly calls: DutyCall[] = [];
+  /** Calls that were not executed because of their token. */
+  readonly rejected: DutyCall[] = [];
   /** Answered statuses, 0 for a call without an answer. */
   readonly statuses: number[] = [];
   private receivedMs: readonly number[] = [];
@@ -141,12 +145,15 @@
               counts: JSON.stringify(body.counts),
             },
           }
-        : {}),
+        : {desired: Number(body.desired)}),
     };
     const isOutdated = this.calls.some(
       c => c.subject === call.subject && c.token > token,
     );
-    if (isOutdated && this.enforcesFencing) return 409;
+    if (isOutdated && this.enforcesFencing) {
+      this.rejected.push(call);
+      return 409;
+    }
     this.calls.push(call);
     return 200;
   }
