Own interface: discard the rest of a body that is too large before the answer

Since the connection was closed with the answer, and closing a socket with unread bytes resets it. The rest is now discarded first, up to twice the limit and for 2 s, as the platform's entry does (`discardRest`, now shared).

--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -7,6 +7,7 @@
 import {AddressInfo} from 'node:net';
 import express, {NextFunction, Request, Response} from 'express';
 import {Map} from 'immutable';
+import {discardRest} from '../gateway/bodyreader';
 import {Clock} from '../kernel/clock';
 import {Fault, createFault} from '../kernel/errors';
 import {Log} from '../observe/log';
@@ -49,6 +50,12 @@
 const MAX_HEADER_BYTES = 16_384;
 /** Retry-After of a request whose body gave way to others, in milliseconds. */
 const SHED_RETRY_AFTER_MS = 1_000;
+/**
+ * Time for which the rest of a body that is too large is discarded before the answer,
+ * in milliseconds. A client that sends the whole body before it reads would lose the
+ * answer if the connection were closed at once.
+ */
+const MAX_DISCARD_MS = 2_000;
 /** `/services/NAME/PATH`; the path may be missing. */
 const SERVICE_PATH = /^\/services\/([^/]+)(\/.*)?$/;
 /** Headers of a caller's request that are not passed to a plain service. */
@@ -120,10 +127,7 @@
     app.get('/readyz', (req, res) => this.answerReadiness(res));
     const readOptions: BodyReadOptions = {
       maxBytes: limit,
-      onLarge: (req, res) => {
-        closeAfterAnswer(req, res);
-        sendFault(res, newRequestId(), largeBodyFault(limit));
-      },
+      onLarge: (req, res) => this.refuseLargeBody(req, res),
       onShed: (req, res) => this.shedBody(req, res),
     };
     const parseJson = express.json({limit, type: () => true});
@@ -159,6 +163,16 @@
     sendFault(res, newRequestId(), fault);
   }
 
+  private refuseLargeBody(req: Request, res: Response): void {
+    const {clock, settings} = this.parts;
+    const {bodyBytes} = settings.limits;
+    closeAfterAnswer(req, res);
+    const limits = {maxBytes: 2 * bodyBytes, maxMs: MAX_DISCARD_MS};
+    discardRest({req, res}, clock, limits, () =>
+      sendFault(res, newRequestId(), largeBodyFault(bodyBytes)),
+    );
+  }
+
   private answerReadiness(res: Response): void {
     const ready = !this.draining && this.parts.ready();
     res.status(ready ? 200 : 503).json({ready});
@@ -330,7 +344,7 @@
   return createFault('too_large', message);
 }
 
-/** For a request whose body is not read any further. */
+/** For a request whose body is not kept any further. */
 function closeAfterAnswer(req: Request, res: Response): void {
   res.shouldKeepAlive = false;
   res.once('finish', () => req.destroy());
--- a/src/gateway/bodyreader.ts
+++ b/src/gateway/bodyreader.ts
@@ -197,6 +197,33 @@
   });
 }
 
+/**
+ * Discards the rest of a refused request's input, up to `maxBytes` and for `maxMs`,
+ * and then calls `onDone` once. Closing a socket with unread bytes resets it, and the
+ * caller may lose the answer. Does nothing more once `res` is closed.
+ */
+export function discardRest(
+  {req, res}: {req: http.IncomingMessage; res: http.ServerResponse},
+  clock: Clock,
+  {maxBytes, maxMs}: {readonly maxBytes: number; readonly maxMs: number},
+  onDone: () => void,
+): void {
+  let isDone = false;
+  const end = () => {
+    if (isDone) return;
+    isDone = true;
+    timer.cancel();
+    onDone();
+  };
+  const timer = clock.after(maxMs, end);
+  discardBody(req, maxBytes, end);
+  req.once('end', end);
+  res.once('close', () => {
+    isDone = true;
+    timer.cancel();
+  });
+}
+
 /** Pause between two reads of 64 KiB from connections with small chunks, in ms. */
 const PACE_MS = 20;
 
--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -9,7 +9,12 @@
 import {Log} from '../observe/log';
 import {LimitedLog} from '../observe/loglimit';
 import {Catalog} from './catalog';
-import {BodyReaderDependencies, discardBody, readBody} from './bodyreader';
+import {
+  BodyReaderDependencies,
+  discardBody,
+  discardRest,
+  readBody,
+} from './bodyreader';
 import {ActiveRequest, CallerConnections} from './callerconnections';
 import {IncomingRequest, writeFailure, writeFailureUnended} from './exchange';
 import {CallerLimits} from './model';
@@ -54,8 +59,7 @@
 
 /**
  * After a refusal, input is discarded for this time and up to so many bytes before
- * the connection is closed. Closing a socket with unread bytes resets it, and the
- * caller may lose the answer.
+ * the connection is closed.
  */
 const DISCARD_MS = 500;
 const MAX_DISCARDED_BYTES = 1_048_576;
@@ -224,13 +228,7 @@
     request.beginClose();
     // Node closes the connection as soon as the answer has ended.
     writeFailureUnended(res, status, reason, retryMs);
-    const end = () => {
-      timer.cancel();
-      res.end();
-    };
-    const timer = this.deps.clock.after(DISCARD_MS, end);
-    discardBody(req, MAX_DISCARDED_BYTES, end);
-    req.once('end', end);
-    res.once('close', () => timer.cancel());
+    const limits = {maxBytes: MAX_DISCARDED_BYTES, maxMs: DISCARD_MS};
+    discardRest(request, this.deps.clock, limits, () => res.end());
   }
 }
--- a/test/processes/entrycrowd.test.ts
+++ b/test/processes/entrycrowd.test.ts
@@ -33,10 +33,14 @@
 const OWN_SOCKETS = 40;
 const UNFINISHED_CHUNKS = 63;
 
-const head = Buffer.from(
-  `POST ${STOCK} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${KEY}\r\n` +
-    'Transfer-Encoding: chunked\r\n\r\n',
-);
+function headWith(framing: string): Buffer {
+  const request = `POST ${STOCK} HTTP/1.1\r\nHost: a\r\n`;
+  return Buffer.from(
+    `${request}Authorization: Bearer ${KEY}\r\n${framing}\r\n\r\n`,
+  );
+}
+
+const head = headWith('Transfer-Encoding: chunked');
 const large = chunk(Buffer.alloc(65_536, 'b'));
 const byteChunks = Buffer.from('1\r\nc\r\n'.repeat(10_000));
 
@@ -57,6 +61,19 @@
     count: 20,
     parts: () => [head, repeated(byteChunks, 20)],
   },
+  {
+    title: 'send chunks without end',
+    count: 80,
+    parts: () => [head, repeated(large, 256)],
+  },
+  {
+    title: 'announce bodies far over the limit and send them',
+    count: 80,
+    parts: () => [
+      headWith('Content-Length: 10000000000'),
+      repeated(Buffer.alloc(65_536, 'b'), 256),
+    ],
+  },
   {
     title: 'open connections and send nothing',
     count: 400,
