--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -68,6 +68,7 @@
   isGroupOpen,
   loadEstimate,
   Loads,
+  reportedRoom,
   retainLoads,
   SlotChange,
 } from './endpointload';
@@ -544,7 +545,17 @@
 
   private refuseForNoRoom(exchange: Exchange, reason: string): void {
     const {incoming, deadlineMs} = exchange;
-    this.servedOf(incoming.service).refused += 1;
+    const {service, metadata} = incoming;
+    this.servedOf(service).refused += 1;
+    const nowMs = this.clock.elapsedMs();
+    const serving = servingEndpoints(this.catalog, service, nowMs);
+    this.log('info', 'no room for a request', {
+      request: metadata.requestId,
+      service,
+      endpoints: serving.length,
+      ...reportedRoom(this.loads, serving, nowMs),
+      waiting: this.queueOf(service).waiting.length,
+    });
     const request = {...incoming, deadlineMs};
     exchange.refuse(reason, this.noRoomDelayMs(request, this.random));
   }
--- a/src/gateway/endpointload.ts
+++ b/src/gateway/endpointload.ts
@@ -157,6 +157,33 @@
   return allowance === Infinity ? undefined : allowance;
 }
 
+/** Room for requests at a set of endpoints. */
+export interface Room {
+  /** Slots that no request is estimated to take. */
+  readonly freeSlots: number;
+  /** Those of them that this gateway may fill until the next reports. */
+  readonly shares: number;
+}
+
+/** The room at the endpoints whose reports are fresh. */
+export function reportedRoom(
+  loads: Loads,
+  endpoints: readonly {readonly id: string; readonly slots: number}[],
+  nowMs: number,
+): Room {
+  let freeSlots = 0;
+  let shares = 0;
+  for (const endpoint of endpoints) {
+    const {id} = endpoint;
+    if (!hasFreshReport(loads, id, nowMs)) continue;
+    const free =
+      capacity(loads, endpoint, nowMs) - estimatedRequests(loads, id, nowMs);
+    freeSlots += Math.max(0, free);
+    shares += shareOf(loads, id, nowMs) ?? 0;
+  }
+  return {freeSlots, shares};
+}
+
 /** Names the group of an endpoint and its epoch, as last reported. */
 export function groupEpoch(loads: Loads, id: string): string {
   const {group, epoch} = loads.get(id, UNKNOWN_LOAD);
--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -93,6 +93,8 @@
   /** The map that was last sent to all ranks. */
   private sentMap: RankMap | undefined;
   private lastDemandReadMs = -Infinity;
+  /** When the last change ended. */
+  private changeEndMs = -Infinity;
   /** Number of readings of the demand. */
   private readings = 0;
   /** Time from one step to the next. */
@@ -335,6 +337,7 @@
         this.poller.ignoreEarlierAnswers();
       }
       if (state.phase.kind === 'idle') {
+        this.changeEndMs = clock.elapsedMs();
         this.lastDemandReadMs = this.nextReadingAfter(before);
       }
       const pass = 'pass' in state.phase ? state.phase.pass : undefined;
@@ -420,11 +423,24 @@
   }
 
   private readDemand(): void {
-    const {change} = this;
-    const limits = this.deps.limits();
-    const choices = this.poller.takeChoices();
-    if (limits && change)
-      this.planner.addChoices(change.epoch, limits, choices);
+    const {change, poller} = this;
+    const {clock, log, limits: readLimits} = this.deps;
+    const limits = readLimits();
+    const choices = poller.takeChoices();
+    if (!limits || !change) return;
+    this.planner.addChoices(change.epoch, limits, choices);
+    if (!this.leading) return;
+    const versions = [...poller.states.values()].map(s => s.map);
+    const newest = Math.max(...versions);
+    const used = this.usedMap();
+    log('info', 'demand read', {
+      sinceChangeMs: roundedMs(clock.elapsedMs() - this.changeEndMs),
+      pollMs: roundedMs(clock.elapsedMs() - this.lastDemandReadMs),
+      choicesOf: choices.length,
+      ranks: change.size,
+      onNewestMap: versions.filter(v => v === newest).length,
+      skew: used && roundedSkew(this.planner.skewOf(used)),
+    });
   }
 
   private async planChange(): Promise<void> {
@@ -432,7 +448,9 @@
     const limits = readLimits();
     const used = this.usedMap();
     if (!limits || !used || !this.mayBegin()) return;
+    const startMs = clock.elapsedMs();
     const plan = await this.planner.plan(used, limits);
+    const plannedMs = clock.elapsedMs();
     if (plan) await this.sendMap(plan.map);
     // The group may have formed again or changed its map during the search.
     const now = this.usedMap();
@@ -440,8 +458,10 @@
     if (!plan || !isCurrent || !this.mayBegin()) return;
     log('info', 'map change planned', {
       copies: plan.copies,
-      skewBefore: Number(plan.skewBefore.toFixed(3)),
-      skewAfter: Number(plan.skewAfter.toFixed(3)),
+      skewBefore: roundedSkew(plan.skewBefore),
+      skewAfter: roundedSkew(plan.skewAfter),
+      searchMs: roundedMs(plannedMs - startMs),
+      sendMs: roundedMs(clock.elapsedMs() - plannedMs),
     });
     this.copyMs = plan.maxCopiesPerRank * limits.copyMsPerExpert;
     this.copyEndMs = clock.elapsedMs() + this.copyMs;
@@ -490,3 +510,12 @@
 function haveAllAccepted({phase, size}: ChangeState): boolean {
   return phase.kind === 'preparing' && phase.acceptedRanks.size === size;
 }
+
+/** Undefined if the time is not known. */
+function roundedMs(ms: number): number | undefined {
+  return Number.isFinite(ms) ? Math.round(ms) : undefined;
+}
+
+function roundedSkew(skew: number | undefined): number | undefined {
+  return skew === undefined ? undefined : Number(skew.toFixed(3));
+}
--- a/src/ranks/planner.ts
+++ b/src/ranks/planner.ts
@@ -47,15 +47,22 @@
     );
   }
 
+  /** The mean skew of a map; undefined while the demand is not known. */
+  skewOf({epoch, map, paces}: UsedMap): number | undefined {
+    const {demand} = this;
+    if (!demand?.known || demand.epoch !== epoch) return undefined;
+    return meanSkew(map, demand.shares, paces);
+  }
+
   /** Returns a better map for the demand; undefined if no change is worth it. */
   async plan(
     {epoch, version, map, paces}: UsedMap,
     limits: PlacementLimits,
   ): Promise<PlacementPlan | undefined> {
     const {demand, fruitless} = this;
-    if (!demand?.known || demand.epoch !== epoch) return undefined;
-    const skew = meanSkew(map, demand.shares, paces);
-    if (skew < limits.minSkew) return undefined;
+    const skew = this.skewOf({epoch, version, map, paces});
+    if (!demand || skew === undefined || skew < limits.minSkew)
+      return undefined;
     const isSearched =
       fruitless?.epoch === epoch && fruitless.version === version;
     // The same search would find nothing again.
