--- a/src/ranks/demand.ts
+++ b/src/ranks/demand.ts
@@ -17,6 +17,8 @@
   readonly atMs: number;
   /** False until the first reading; `shares` is uniform until then. */
   readonly known: boolean;
+  /** Mean distance of the last reading's sets from the average before it. */
+  readonly distance: number;
 }
 
 /** What the ranks of a group have chosen since they were last asked. */
@@ -67,8 +69,12 @@
   const shares = newShares.map((set, i) =>
     blendShares(last.shares[i]!, set, last.known ? weight : 1),
   );
+  const distances = newShares.map((set, i) =>
+    distanceOf(last.shares[i]!, set),
+  );
+  const distance = distances.reduce((sum, d) => sum + d, 0) / sets;
   const pending = sums.map(() => 0);
-  return {shares, pending, epoch, atMs: nowMs, known: true};
+  return {shares, pending, epoch, atMs: nowMs, known: true, distance};
 }
 
 function uniformDemand(
@@ -81,7 +87,7 @@
     new Array<number>(experts).fill(1 / experts),
   );
   const pending = new Array<number>(sets * experts).fill(0);
-  return {shares, pending, epoch, atMs, known: false};
+  return {shares, pending, epoch, atMs, known: false, distance: 0};
 }
 
 function blendShares(
@@ -89,14 +95,15 @@
   latest: readonly number[],
   weight: number,
 ): readonly number[] {
-  const distance = average.reduce(
-    (sum, share, i) => sum + Math.abs(share - latest[i]!),
-    0,
-  );
-  const used = distance > MIN_JUMP_DISTANCE ? 1 : weight;
+  const used = distanceOf(average, latest) > MIN_JUMP_DISTANCE ? 1 : weight;
   return average.map((share, i) => share + used * (latest[i]! - share));
 }
 
+/** Sum of absolute differences of shares, at most 2. */
+function distanceOf(one: readonly number[], other: readonly number[]): number {
+  return one.reduce((sum, share, i) => sum + Math.abs(share - other[i]!), 0);
+}
+
 function normalizeToShares(values: readonly number[]): readonly number[] {
   const sum = values.reduce((total, n) => total + n, 0);
   if (sum === 0) return values.map(() => 1 / values.length);
--- a/src/ranks/planner.ts
+++ b/src/ranks/planner.ts
@@ -47,6 +47,11 @@
     );
   }
 
+  /** How far the last reading was from the estimate before it; 0 at the first. */
+  get demandDistance(): number {
+    return this.demand?.distance ?? 0;
+  }
+
   /** The mean skew of a map; undefined while the demand is not known. */
   skewOf({epoch, map, paces}: UsedMap): number | undefined {
     const {demand} = this;
