Demand of experts: tell a shift from noise by what the ranks' readings show

Callers of groups of 64 ranks saw pauses above the promised one for seconds after each shift of demand. The estimate took a reading for a shift only if it was 0.7 away from the average, a distance between chance readings of twelve ranks.

The noise of a reading is now measured by how far half of its ranks differ from the other half. The new test fails before: a shift of half of the demand moves the estimate by 0.28 of it.

--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -439,7 +439,7 @@
       choicesOf: choices.length,
       ranks: change.size,
       onNewestMap: versions.filter(v => v === newest).length,
-      distance: Number(this.planner.demandDistance.toFixed(2)),
+      distance: Number(this.planner.lastDemand!.distance.toFixed(2)),
       skew: used && roundedSkew(this.planner.skewOf(used)),
     });
   }
--- a/src/ranks/planner.ts
+++ b/src/ranks/planner.ts
@@ -47,9 +47,10 @@
     );
   }
 
-  /** How far the last reading was from the estimate before it; 0 at the first. */
-  get demandDistance(): number {
-    return this.demand?.distance ?? 0;
+  /** What the last reading showed of the demand; undefined before the first. */
+  get lastDemand():
+    Pick<Demand, 'distance' | 'noise' | 'hasJumped'> | undefined {
+    return this.demand;
   }
 
   /** The mean skew of a map; undefined while the demand is not known. */
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -232,6 +232,31 @@
     expect(demand.shares[0]![0]).to.be.closeTo(0.1, 0.001);
   });
 
+  it('follows a shift of half of the demand in a large group at once', () => {
+    // The many requests of a large group make its readings steady, so a shift is
+    // far less than a reading of a few ranks differs from the next by chance.
+    const sets = 1;
+    const experts = 100;
+    const reading = (hot: number) =>
+      Array.from({length: 22}, (_, rank) =>
+        Array.from({length: experts}, (_, expert) => {
+          const isHot = expert >= hot && expert < hot + 25;
+          return 100 + (isHot ? 100 : 0) + ((expert + rank) % 2) * 20;
+        }),
+      );
+    const add = (before: Demand | undefined, hot: number, nowMs: number) =>
+      updateDemand(
+        before,
+        {epoch: 1, sets, experts, ofRanks: reading(hot)},
+        nowMs,
+      );
+    const before = add(undefined, 0, 500);
+    const after = add(before, 50, 1_000);
+    const [shares] = add(undefined, 50, 500).shares;
+    expect(after.distance).to.be.within(0.3, 0.7);
+    expect(after.shares[0]).to.deep.equal(shares);
+  });
+
   it('is reset when the group forms again', () => {
     let demand = addReading(undefined, [9_000, 1_000], 500);
     expect(demand.known).to.equal(true);
