Free slots: sidecars begin their turns at random

Each sidecar gives its one to four free slots to as many of 98 entries, in turn, and all began with the same entry. At rest all take the same number of turns, so the slots of all 192 endpoints went to the same four entries, and the order lasts under load.

What is refused still is the share of slots that lie with gateways which have nothing to send.

--- a/test/endpointqueuemodel.ts
+++ b/test/endpointqueuemodel.ts
@@ -13,7 +13,7 @@
 import {RequestDispatcher} from '../src/gateway/dispatcher';
 import {Exchange} from '../src/gateway/exchange';
 import {Endpoint} from '../src/gateway/model';
-import {divideSlots} from '../src/gateway/slotshares';
+import {divideSlots, firstTurn} from '../src/gateway/slotshares';
 import {
   createDispatcher,
   MAX_ATTEMPTS,
@@ -153,7 +153,7 @@
     id: string,
     group: string,
     endpoint: QueueingEndpoint,
-    turn = 0,
+    turn = firstTurn(this.random),
   ): void {
     const {gateways} = this.settings;
     const free = SLOTS - endpoint.held;
