Load reports: to the process that is at the address now

A gateway credited a report to the first registration at its address. After a loss of power that is the process that has ended, until its registration lapses, so the load and the free slots of its successor were unknown for seconds. The search also took time for each report in proportion to the endpoints, at 384 reports a second.

The catalog keeps an index by address. The test of the successor fails without the index: the function did not exist, and the search returned the earlier registration.

--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -215,6 +215,18 @@
   return endpointIndex(catalog).byService.get(service) ?? [];
 }
 
+/**
+ * The registration of the process that is at an address; of those that do not say
+ * when their process started, the first.
+ */
+export function endpointAt(
+  catalog: Catalog,
+  address: string,
+): Registration | undefined {
+  const {latestAt, firstAt} = endpointIndex(catalog);
+  return latestAt.get(address) ?? firstAt.get(address);
+}
+
 /**
  * The state of a registered endpoint. The registrations of processes that have
  * ended lapse seconds after their successors are there.
@@ -266,6 +278,8 @@
    * registrations at it say when theirs did.
    */
   readonly latestAt: ReadonlyMap<string, Registration>;
+  /** The first registration at each address. */
+  readonly firstAt: ReadonlyMap<string, Registration>;
 }
 
 /**
@@ -279,18 +293,20 @@
   if (known) return known;
   const byService = new globalThis.Map<string, Registration[]>();
   const latestAt = new globalThis.Map<string, Registration>();
+  const firstAt = new globalThis.Map<string, Registration>();
   const undated = new globalThis.Set<string>();
   for (const endpoint of endpoints.values()) {
     const {service, address, startedMs} = endpoint;
     const ofService = byService.get(service);
     if (ofService) ofService.push(endpoint);
     else byService.set(service, [endpoint]);
+    if (!firstAt.has(address)) firstAt.set(address, endpoint);
     if (startedMs === undefined) undated.add(address);
     const latestMs = latestAt.get(address)?.startedMs ?? -Infinity;
     if ((startedMs ?? -Infinity) > latestMs) latestAt.set(address, endpoint);
   }
   for (const address of undated) latestAt.delete(address);
-  const index = {byService, latestAt};
+  const index = {byService, latestAt, firstAt};
   endpointIndexes.set(endpoints, index);
   return index;
 }
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -11,6 +11,7 @@
 import {crashTable, endpointTable, operatorTable} from '../platform/tables';
 import {
   emptyCatalog,
+  endpointAt,
   applyEndpointChange,
   applyOperatorChange,
 } from './gateway/catalog';
@@ -324,9 +325,7 @@
     self: {host: ip, port: peerPort},
     endpoints: () => modelEndpoints(dispatcher),
     handleReport: report => {
-      const found = dispatcher
-        .currentCatalog()
-        .endpoints.find(e => e.address === report.address);
+      const found = endpointAt(dispatcher.currentCatalog(), report.address);
       if (found)
         dispatcher.handleLoadReport(
           {
--- a/test/replacedendpoint.test.ts
+++ b/test/replacedendpoint.test.ts
@@ -10,6 +10,7 @@
   applyEndpointChange,
   Catalog,
   emptyCatalog,
+  endpointAt,
   excludeReplacedEndpoint,
   servingEndpoints,
 } from '../src/gateway/catalog';
@@ -53,6 +54,12 @@
   ];
   const successor = endpoint('new', old.address, AFTER_MS);
 
+  it('leave the reports from there to the process that started last', () => {
+    const catalog = catalogOf(old, successor, other);
+    expect(endpointAt(catalog, old.address)?.id).to.equal('new');
+    expect(endpointAt(catalog, '10.0.0.9:8000')).to.equal(undefined);
+  });
+
   it('leave only the process that started last', () => {
     expect(servingIds(catalogOf(old, successor, other))).to.have.members([
       'new',
