Logs: no line for an unchanged registration, nor for passes at every rank

All ranks of a group also logged the same passes twice a second. Registrations are logged when they change, and passes by the rank that coordinates; the others log them at level debug.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -290,6 +290,7 @@
 
   handleEndpointChange(change: EndpointChange, isFullRead: boolean): void {
     const nowMs = this.clock.elapsedMs();
+    const before = this.catalog.endpoints;
     this.catalog = applyEndpointChange(this.catalog, change, isFullRead, nowMs);
     this.loads = retainLoads(this.loads, this.catalog.endpoints);
     for (const [id, registered] of change) {
@@ -301,6 +302,8 @@
       }
       if (!endpoint) this.forgetRates(id);
       else if (!this.phases.has(id)) this.phases.set(id, this.random());
+      // A read of the whole table brings every registration again.
+      if (endpoint && isSameRegistration(before.get(id), endpoint)) continue;
       this.log('info', 'endpoint', {
         endpoint: id,
         state: stateOf(registered),
@@ -1174,6 +1177,22 @@
   return metadata.sharedParts.map(part => servicePart(service, part));
 }
 
+/** Whether nothing that is logged about an endpoint has changed. */
+function isSameRegistration(
+  before: Registration | undefined,
+  {service, address, zone, draining, coldMs}: Endpoint,
+): boolean {
+  return (
+    before !== undefined &&
+    before.goneSinceMs === undefined &&
+    before.service === service &&
+    before.address === address &&
+    before.zone === zone &&
+    before.draining === draining &&
+    before.coldMs === coldMs
+  );
+}
+
 /** The state of a registration as it is logged. */
 function stateOf(registered: Endpoint | 'invalid' | undefined): string {
   if (registered === undefined) return 'gone';
--- a/src/ranks/passobserver.ts
+++ b/src/ranks/passobserver.ts
@@ -25,6 +25,8 @@
     private readonly target: () => PassTarget | undefined,
     private readonly clock: Clock,
     private readonly log: Log,
+    /** Whether to log each measurement; one rank of a group is enough. */
+    private readonly logsPasses: () => boolean = () => true,
   ) {}
 
   /** Mean time of the passes measured last, in milliseconds; 0 before. */
@@ -66,7 +68,7 @@
     if (engine) {
       this.stretches = recordStretch(this.stretches, engine, measured, nowMs);
     }
-    this.log('info', 'passes measured', {
+    this.log(this.logsPasses() ? 'info' : 'debug', 'passes measured', {
       group: report.group,
       pass: report.pass,
       passes: measured.passes,
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -617,6 +617,7 @@
       currentTarget(passTarget(catalog, service ?? ''), publisher.heardTarget),
     clock,
     log,
+    () => coordinator.isLeading(),
   );
   registry.registerGauge('boragemill_pass_ms', () =>
     Math.round(passes.lastMeanMs),
