Coordinator: no pause after a poll while no change is in progress

The step after a poll waited as long as the poll had taken, so that a reading whose answers were there was used up to 100 ms later. The pause keeps the link free for answers to orders, and there are none while the group is idle.

--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -245,7 +245,8 @@
       const scope = this.pollScope(isReadingDue, awaitsSwitch, nowMs);
       await this.poller.poll(ownReport, scope);
     }
-    const pollMs = clock.elapsedMs() - nowMs;
+    // Answers to the orders of a change are read between the polls.
+    const pollMs = busy ? clock.elapsedMs() - nowMs : 0;
     this.stepIntervalMs = Math.max(
       POLL_INTERVAL_MS,
       pollMs * (1 / MAX_POLL_SHARE - 1),
