Coordinator: look whether a change may begin before the map is put together

A reading that waits for the ranks to switch is looked at in each step, every 60 ms. The map in use was put together each time, also while no change might begin. No test of its own: the decision is the same, and the tests of largegroup and coordination pass (17 of 17).

--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -500,8 +500,9 @@
   private async planChange(): Promise<void> {
     const {clock, log, limits: readLimits} = this.deps;
     const limits = readLimits();
+    if (!limits || !this.mayBegin()) return;
     const used = this.usedMap();
-    if (!limits || !used || !this.mayBegin()) return;
+    if (!used) return;
     this.isUnplanned = false;
     const startMs = clock.elapsedMs();
     const plan = await this.planner.plan(used, limits);
