--- a/test/endpointqueuemodel.ts
+++ b/test/endpointqueuemodel.ts
@@ -42,6 +42,8 @@
   readonly gateways: number;
   readonly endpoints: number;
   readonly requestsPerS: (nowMs: number) => number;
+  /** Slots of each endpoint; `SLOTS` if absent. */
+  readonly slots?: number;
 }
 
 const MS_PER_S = 1_000;
@@ -61,6 +63,7 @@
   constructor(
     private readonly clock: VirtualClock,
     private readonly random: () => number,
+    private readonly slots: number,
   ) {}
 
   get held(): number {
@@ -68,7 +71,7 @@
   }
 
   get hasFreeSlot(): boolean {
-    return this.running < SLOTS;
+    return this.running < this.slots;
   }
 
   load(): {readonly running: number; readonly queued: number} {
@@ -121,12 +124,13 @@
   constructor(private readonly settings: QueueModelSettings) {
     const generator = xoroshiro128plus(settings.seed);
     this.random = () => uniformFloat64(generator);
+    const {slots = SLOTS} = settings;
     const registered = new Map<string, Endpoint>();
     for (let i = 0; i < settings.endpoints; i++) {
       const zone = `z${Math.floor((i * ZONES) / settings.endpoints)}`;
       const id = `e${i}`;
-      registered.set(id, registeredEndpoint(id, i, zone, SLOTS));
-      const endpoint = new QueueingEndpoint(this.clock, this.random);
+      registered.set(id, registeredEndpoint(id, i, zone, slots));
+      const endpoint = new QueueingEndpoint(this.clock, this.random, slots);
       this.endpoints.set(id, endpoint);
       this.clock.after(REPORT_INTERVAL_MS * this.random(), () =>
         this.report(id, zone, endpoint),
@@ -155,8 +159,8 @@
     endpoint: QueueingEndpoint,
     turn = firstTurn(this.random),
   ): void {
-    const {gateways} = this.settings;
-    const free = SLOTS - endpoint.held;
+    const {gateways, slots = SLOTS} = this.settings;
+    const free = slots - endpoint.held;
     const {shares, nextTurn} = divideSlots(free, gateways, turn);
     const load = {
       id,
--- a/test/endpointrefusals.test.ts
+++ b/test/endpointrefusals.test.ts
@@ -36,3 +36,28 @@
     });
   }
 });
+
+/** Slots of each endpoint and share in use on a calm day of 98 entries. */
+const FEW_SLOTS = 4;
+const CALM_LOAD = 2 / 3;
+
+describe('requests while a third of the slots is free', () => {
+  it('are hardly ever refused (98 gateways, 192 endpoints of 4 slots)', async () => {
+    // Most free slots are shares of gateways that have nothing to send.
+    const gateways = 98;
+    const endpoints = 192;
+    for (const seed of SEEDS) {
+      const model = new EndpointQueueModel({
+        seed,
+        gateways,
+        endpoints,
+        slots: FEW_SLOTS,
+        requestsPerS: () =>
+          (CALM_LOAD * endpoints * FEW_SLOTS * 1_000) / MEAN_RUN_MS,
+      });
+      await model.runUntil(END_MS);
+      const {refused, arrivals} = model;
+      expect(refused / (refused + arrivals)).to.be.at.most(MAX_REFUSED);
+    }
+  }).timeout(120_000);
+});
