--- a/src/ranks/coordinator.ts
+++ b/src/ranks/coordinator.ts
@@ -245,8 +245,7 @@
       const scope = this.pollScope(isReadingDue, awaitsSwitch, nowMs);
       await this.poller.poll(ownReport, scope);
     }
-    // Answers to the orders of a change are read between the polls.
-    const pollMs = busy ? clock.elapsedMs() - nowMs : 0;
+    const pollMs = clock.elapsedMs() - nowMs;
     this.stepIntervalMs = Math.max(
       POLL_INTERVAL_MS,
       pollMs * (1 / MAX_POLL_SHARE - 1),
