--- a/src/gateway/loadreports.ts
+++ b/src/gateway/loadreports.ts
@@ -22,7 +22,7 @@
 import {DatagramSocket, Peer} from './datagrams';
 import {Heartbeat} from '../ranks/rank';
 import {HeardTarget, hearTarget, PassTarget} from '../ranks/passtarget';
-import {divideSlots, firstTurn} from './slotshares';
+import {divideSlots} from './slotshares';
 
 export interface LoadReport {
   /** Address of the endpoint, an `IP:port`. */
@@ -173,7 +173,7 @@
   private slots: number | undefined;
   private heard: HeardTarget | undefined;
   /** Index of the subscriber whose turn for a free slot is next. */
-  private turn = firstTurn(Math.random);
+  private turn = 0;
 
   constructor(
     private readonly self: Peer,
--- a/src/gateway/slotshares.ts
+++ b/src/gateway/slotshares.ts
@@ -6,10 +6,6 @@
  * free slot to one gateway. Gateways take turns, so that each gets its part where
  * there are fewer slots than gateways. It does not matter if the sidecar fails:
  * without reports, gateways go by their own counts.
- *
- * Sidecars begin their turns at random. Endpoints of equal load take the same number
- * of turns, so those that began with the same gateway would all give their slots to
- * the same few, while the others refuse requests.
  */
 
 export interface SlotShares {
@@ -19,14 +15,6 @@
   readonly nextTurn: number;
 }
 
-/** Far more than there are gateways, so that each is as likely to come first. */
-const MAX_FIRST_TURN = 2 ** 31;
-
-/** The turn at which a sidecar begins. `random` is from 0 to below 1. */
-export function firstTurn(random: () => number): number {
-  return Math.floor(random() * MAX_FIRST_TURN);
-}
-
 export function divideSlots(
   freeSlots: number,
   gateways: number,
