--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -16,6 +16,7 @@
   HOST,
   newIp,
   newRequestId,
+  PORTS,
   registration,
   requestHead,
   runCase,
@@ -128,11 +129,11 @@
   }
 
   async start(ips) {
-    this.addresses = ips.map(ip => `${ip}:8228`);
+    this.addresses = ips.map(ip => `${ip}:${PORTS.app}`);
     for (const [i, ip] of ips.entries()) {
       const server = http.createServer((req, res) => this.handle(i, req, res));
       server.keepAliveTimeout = 60_000;
-      await new Promise(done => server.listen(8228, ip, done));
+      await new Promise(done => server.listen(PORTS.app, ip, done));
     }
     this.timer = setInterval(() => this.beginPass(), PASS_MS);
   }
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -16,6 +16,7 @@
   KeptCaller,
   newIp,
   newRequestId,
+  PORTS,
   registration,
   requestHead,
   runCase,
@@ -27,17 +28,17 @@
 const SERVICE = 'wuno96b';
 const SLOTS = 6;
 const RUNNERS = 5;
-const WORK_MS = 85;
+const WORK_MS = 2_000;
 const CALLERS = 30;
-const CALM_MS = 3_000;
+const CALM_MS = 5_000;
 const TROUBLE_MS = 15_000;
 const ROUTE = {
   name: 'r-fi6y7z5',
   host: 'ficu95.example',
   prefix: '/pufi791/',
   kind: 'non_idempotent',
-  'timeout-ms': 4000,
-  'target-latency-ms': 389,
+  'timeout-ms': 8000,
+  'target-latency-ms': 2500,
   priority: 1,
   service: SERVICE,
   'max-attempts': 2,
@@ -46,7 +47,7 @@
 
 /** An HTTP/1.1 server with one request at a time on a connection. */
 async function startRunner(ip, onAnswer, onArrival) {
-  const runner = {inTrouble: false, runs: 0, address: `${ip}:8120`};
+  const runner = {inTrouble: false, runs: 0, address: `${ip}:${PORTS.app}`};
   const server = net.createServer(socket => {
     let input = '';
     socket.on('error', () => undefined);
@@ -77,7 +78,7 @@
       more();
     });
   });
-  await new Promise(done => server.listen(8120, ip, done));
+  await new Promise(done => server.listen(PORTS.app, ip, done));
   return runner;
 }
 
@@ -144,14 +145,14 @@
       const caller = new KeptCaller(ip);
       while (performance.now() < endMs && !entry.ended) {
         const id = newRequestId();
-        const head = requestHead('POST', '/pufi791/2f', id, 4039, [
+        const head = requestHead('POST', '/pufi791/2f', id, 8039, [
           'Content-Length: 2',
         ]);
         const {
           status = '-',
           how,
           isKept,
-        } = await caller.request(head, 'ab', 6_000);
+        } = await caller.request(head, 'ab', 9_000);
         const outcome = `${status}, ${how}`;
         outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
         if (
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -17,6 +17,7 @@
   HOST,
   newIp,
   newRequestId,
+  PORTS,
   readiness,
   registration,
   requestHead,
@@ -83,7 +84,7 @@
 
 /** A model runner, which serves one request at a time on a connection. */
 async function startModelRunner(ip, onEndless) {
-  const runner = {inTrouble: false, address: `${ip}:8120`};
+  const runner = {inTrouble: false, address: `${ip}:${PORTS.app}`};
   const server = net.createServer(socket => {
     let input = '';
     let timer;
@@ -118,7 +119,7 @@
       }, EVENT_MS);
     });
   });
-  await new Promise(done => server.listen(8120, ip, done));
+  await new Promise(done => server.listen(PORTS.app, ip, done));
   return runner;
 }
 
@@ -150,7 +151,7 @@
         res.end('x'.repeat(800));
       }, 85);
     });
-    await new Promise(done => orderServer.listen(8120, ordersIp, done));
+    await new Promise(done => orderServer.listen(PORTS.app, ordersIp, done));
     store.put('op', {
       config: configuration(
         7,
@@ -165,7 +166,9 @@
     store.put('servers', {
       'i-7f3a91c0': registration(MODEL, models[0].address, {slots: SLOTS}),
       'i-7f3a91c1': registration(MODEL, models[1].address, {slots: SLOTS}),
-      'i-5840f93b': registration(ORDERS, `${ordersIp}:8120`, {slots: SLOTS}),
+      'i-5840f93b': registration(ORDERS, `${ordersIp}:${PORTS.app}`, {
+        slots: SLOTS,
+      }),
     });
     const ip = newIp();
     const settings = entrySettings('edge-bratislava-a-1', ip, store.address);
--- a/review/lib-2/scene.mjs
+++ b/review/lib-2/scene.mjs
@@ -52,6 +52,26 @@
 export const newIp = () =>
   `127.${block}.${(process.pid >> 8) % 250}.${nextHost++}`;
 
+/** A port that is free on a loopback address of this run. */
+function freePort() {
+  return new Promise((resolve, reject) => {
+    const server = net.createServer();
+    server.once('error', reject);
+    server.listen(0, newIp(), () => {
+      const {port} = server.address();
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+/** Ports, the same on all addresses of this run; `app` is for runners. */
+export const PORTS = {
+  front: await freePort(),
+  readiness: await freePort(),
+  peers: await freePort(),
+  app: await freePort(),
+};
+
 /** The platform's store: rows, transactions and the feed of changes. */
 export class Store {
   rows = new Map();
@@ -264,8 +284,11 @@
     zone: 'bratislava-a',
     region: 'sk-west',
     zones: ZONES,
-    listen: {front: `${ip}:8227`, 'readiness-addr': `${ip}:8220`},
-    'internal-ports': [7340, 7355],
+    listen: {
+      front: `${ip}:${PORTS.front}`,
+      'readiness-addr': `${ip}:${PORTS.readiness}`,
+    },
+    'internal-ports': [PORTS.peers, PORTS.peers + 15],
     seeds: [],
     bootstrap: true,
     'in-tolerance': false,
@@ -373,7 +396,7 @@
 /** Status of the readiness check; 0 if there is no answer within a second. */
 export function readiness(ip, timeoutMs = 1_000) {
   return new Promise(done => {
-    const url = `http://${ip}:8220/boragemill/ready`;
+    const url = `http://${ip}:${PORTS.readiness}/boragemill/ready`;
     const req = http.get(url, {agent: false, timeout: timeoutMs}, res => {
       res.resume();
       res.on('end', () => done(res.statusCode));
@@ -453,7 +476,7 @@
  */
 export function sendRequest(ip, head, body, timeoutMs = 10_000) {
   return new Promise(done => {
-    const socket = net.connect(8227, ip);
+    const socket = net.connect(PORTS.front, ip);
     const chunks = [];
     let ended;
     const finish = how => {
@@ -484,6 +507,9 @@
   const record = new Record(file);
   const programs = new Programs(record);
   let status = 2;
+  const stop = () => void programs.end().then(() => process.exit(2));
+  process.once('SIGINT', stop);
+  process.once('SIGTERM', stop);
   const limit = setTimeout(() => {
     record.write('the case took longer than 116 s');
     void programs.end().then(() => process.exit(2));
@@ -518,7 +544,7 @@
   request(head, body, timeoutMs = 10_000) {
     return new Promise(done => {
       if (!this.socket || this.socket.destroyed) {
-        this.socket = net.connect(8227, this.ip);
+        this.socket = net.connect(PORTS.front, this.ip);
         this.answered = 0;
       }
       const {socket} = this;
