--- a/review/lib-3/badpart.mjs
+++ b/review/lib-3/badpart.mjs
@@ -33,13 +33,26 @@
   return [...shared, hex(1_000 + prompts++)].map(id => `${id}:40`).join(',');
 }
 
+/** Head of a stream without a length or chunks, which ends with its connection. */
+const unframedHead = ({headers: {'boragemill-request-id': id}}) =>
+  [
+    'HTTP/1.1 200 OK',
+    'Content-Type: text/event-stream',
+    `Boragemill-Request-Id: ${id}`,
+    `Boragemill-Response-Seal: s.${id}`,
+    'Connection: close',
+    '',
+    '',
+  ].join('\r\n');
+
 /**
  * Plays for `playMs`; every `intervalMs` come `burst` requests with the part, which
- * is at `position` among `sharedParts`.
+ * is at `position` among `sharedParts`. With `sendsHead` a runner has sent the head of
+ * its answer when it crashes.
  */
 export const playBadPart = (
   folder,
-  {sharedParts, position, burst, intervalMs, playMs},
+  {sharedParts, position, burst, intervalMs, playMs, sendsHead = false},
 ) =>
   runCase(folder, async world => {
     const store = world.keep(new Store());
@@ -64,7 +77,7 @@
     for (let i = 0; i < RUNNERS; i++) {
       const runner = new Runner(store, `i-${i}`, 'draft-llm', zones[i % 3]);
       runner.backMs = BACK_MS;
-      runner.crashesOn = req => {
+      runner.crashesOn = (req, res) => {
         const parts = req.headers['boragemill-prefix-hash']
           .split(',')
           .slice(0, -1);
@@ -73,8 +86,10 @@
           id: req.headers['boragemill-request-id'],
           atMs: nowMs(),
         });
-        if (world.trouble) crashes.push(nowMs());
-        return world.trouble;
+        if (!world.trouble) return false;
+        crashes.push(nowMs());
+        if (sendsHead) res.socket.write(unframedHead(req));
+        return true;
       };
       runner.serve = (req, res) => {
         res.writeHead(200, {'Content-Type': 'text/event-stream'});
--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -277,7 +277,7 @@
         return res.end();
       }
       const tenant = req.headers['boragemill-tenant'];
-      if (this.crashesOn?.(req)) return this.crash(this.backMs);
+      if (this.crashesOn?.(req, res)) return this.crash(this.backMs);
       this.runs.push({id, tenant, atMs: nowMs()});
       record(`runner ${this.id} runs ${id} tenant=${tenant}`);
       res.setHeader('Boragemill-Response-Seal', `s.${id}`);
