--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -52,6 +52,14 @@
   lines.push(`${String(nowMs()).padStart(6)} ${text}`);
 }
 
+/** Processes to end with this one, however it ends. */
+export const children = new Set();
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+  process.on(signal, () => process.exit(2));
+
 const OWN_OCTETS = [process.pid >> 8, process.pid].map(n => 1 + (n % 250));
 let nextHost = 1;
 /** A loopback address of its own, because the metrics port is fixed. */
@@ -406,10 +414,12 @@
       env: {PATH, HOME, LANG, BORAGEMILL_SETTINGS: file},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    children.add(this.child);
     for (const stream of [this.child.stdout, this.child.stderr])
       stream.on('data', chunk => (this.output += String(chunk)));
     this.exited = new Promise(done =>
       this.child.once('exit', (code, signal) => {
+        children.delete(this.child);
         this.ended = signal ?? `code ${code}`;
         record(`${this.name} ends: ${this.ended}`);
         done();
