--- a/review/lib-3/badpart.mjs
+++ b/review/lib-3/badpart.mjs
@@ -88,11 +88,16 @@
  * Answers have `events` events. With `sendsHead` a runner has sent the head of its
  * answer when it crashes.
  */
-export const playBadPart = (
-  folder,
-  {shared, burst = 1, intervalMs, playMs, events = 8, sendsHead = false, check},
-) =>
-  runCase(folder, async world => {
+export const playBadPart = ({
+  shared,
+  burst = 1,
+  intervalMs,
+  playMs,
+  events = 8,
+  sendsHead = false,
+  check,
+}) =>
+  runCase(async world => {
     const store = world.keep(new Store());
     await store.start();
     store.put('op', 'config', {
--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -506,13 +506,15 @@
 }
 
 /**
- * Runs a case: `play` resolves with the sentences that say how the rule was broken.
+ * Runs a case; the arguments of the script are `TROUBLE` and the file of the record.
+ * `play` resolves with the sentences that say how the rule was broken.
  * Exits with 1 if there are any, 0 if there are none, and 2 if it could not run.
  */
-export async function runCase(folder, play) {
+export async function runCase(play) {
+  const [, , troubleArgument, recordFile] = process.argv;
   const parts = [];
   const keep = part => (parts.push(part), part);
-  const trouble = process.env.TROUBLE !== '0';
+  const trouble = troubleArgument !== '0';
   let status = 2;
   try {
     record(trouble ? 'with the disruption' : 'without the disruption');
@@ -524,7 +526,7 @@
     record(`the case could not run: ${error.stack}`);
   }
   for (const part of parts.reverse()) await part.stop();
-  fs.writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+  fs.writeFileSync(recordFile, `${lines.join('\n')}\n`);
   process.stdout.write(`${lines.slice(-4).join('\n')}\n`);
   process.exit(status);
 }
