Test: full reads of a table from an older state

A watch whose history is gone forgets its version, so whatever state the next full read shows is taken and dated as current. An entry then refuses routes with 404 that it should not, for as long as the view counts as confirmed, or routes by services and zones of some seconds ago. The same holds for the first read of a process that has just started. A full read that is followed by a lost history each time is repeated without a pause.

--- a/test/tablewatch.test.ts
+++ b/test/tablewatch.test.ts
@@ -11,6 +11,7 @@
   DecodedRead,
   HistoryGoneError,
   TableWatch,
+  WatchRole,
 } from '../src/gateway/tablewatch';
 import {watchTimes} from '../src/gateway/watchtimes';
 import {Clock, readInstant} from '../src/kernel/clock';
@@ -45,27 +46,44 @@
   return {...read, asOf: readInstant(clock)};
 }
 
+const WAIT_MS = 1_000;
+const TIMES = watchTimes({
+  drainMs: 2_000,
+  configurationMs: 2_000,
+  contactMs: 3_000,
+  keyAgeMs: Infinity,
+});
+
+/** An answer to a poll that finds no change. */
+function unchanged(version: number): () => UndatedRead {
+  return () => ({change: '', version, rows: 0});
+}
+
 /** Runs a watch over scripted answers until they are used up. */
 async function runWatch(
   reads: (() => UndatedRead)[],
   changes: ((version: number) => UndatedRead)[],
+  role?: WatchRole,
 ) {
   const clock = jumpingClock();
   const seen: Seen[] = [];
   const confirmations: number[] = [];
   const events: string[] = [];
+  const endScript = () => {
+    watch.stop();
+    throw new Error('end of the script');
+  };
   const watch: TableWatch<string> = new TableWatch(
     {
       name: 't',
       async read() {
-        return dated(reads.shift()!(), clock);
+        const answer = reads.shift();
+        if (!answer) return endScript();
+        return dated(answer(), clock);
       },
       async changes(version, waitMs) {
         const answer = changes.shift();
-        if (!answer) {
-          watch.stop();
-          throw new Error('end of the script');
-        }
+        if (!answer) return endScript();
         clock.advance(waitMs);
         return dated(answer(version), clock);
       },
@@ -77,12 +95,15 @@
       },
       handleNoChange: asOf => confirmations.push(asOf.elapsedMs),
     },
-    1_000,
+    WAIT_MS,
     clock,
     (level, event) => events.push(event),
+    undefined,
+    role,
   );
   await watch.run();
-  return {seen, proofs: confirmations, events};
+  const elapsedMs = clock.elapsedMs();
+  return {seen, proofs: confirmations, events, elapsedMs};
 }
 
 function fail(error: Error): never {
@@ -159,18 +180,70 @@
       {
         progress: new StoreProgress(),
         leads: true,
-        times: watchTimes({
-          drainMs: 2_000,
-          configurationMs: 2_000,
-          contactMs: 3_000,
-          keyAgeMs: Infinity,
-        }),
+        times: TIMES,
       },
     );
     await watch.run();
     expect(waits).to.deep.equal([1_000, 0, 1_000, 1_000]);
   });
 
+  // Routes were refused by a state of some seconds ago that counted as the newest.
+  it('takes no full read that is older than what the store has shown', async () => {
+    const {seen} = await runWatch(
+      [
+        () => ({change: 'all', version: 5, rows: 1}),
+        () => ({change: 'older', version: 3, rows: 1}),
+        () => ({change: 'newer', version: 8, rows: 1}),
+      ],
+      [() => fail(new HistoryGoneError()), unchanged(8)],
+    );
+    expect(seen.map(s => s.change)).to.deep.equal(['all', 'newer']);
+  });
+
+  it('takes no full read that is older than what another watch was told', async () => {
+    const progress = new StoreProgress();
+    const server = await runWatch(
+      [() => ({change: 'servers', version: 9, rows: 1})],
+      [],
+      {progress, leads: false, times: TIMES},
+    );
+    const operator = await runWatch(
+      [
+        () => ({change: 'older', version: 7, rows: 1}),
+        () => ({change: 'newer', version: 9, rows: 1}),
+      ],
+      [unchanged(9)],
+      {progress, leads: true, times: TIMES},
+    );
+    expect(server.seen.map(s => s.change)).to.deep.equal(['servers']);
+    expect(operator.seen.map(s => s.change)).to.deep.equal(['newer']);
+  });
+
+  it('takes no first read from before the history that is gone, if it leads', async () => {
+    const {seen} = await runWatch(
+      [
+        () => ({change: 'older', version: 3, rows: 1}),
+        () => ({change: 'newer', version: 8, rows: 1}),
+      ],
+      [() => fail(new HistoryGoneError()), unchanged(8)],
+      {progress: new StoreProgress(), leads: true, times: TIMES},
+    );
+    expect(seen.map(s => s.change)).to.deep.equal(['newer']);
+  });
+
+  it('pauses if the history is gone again after each full read', async () => {
+    const {elapsedMs} = await runWatch(
+      Array.from({length: 4}, (_, i) => () => ({
+        change: '',
+        version: i,
+        rows: 1,
+      })),
+      Array.from({length: 4}, () => () => fail(new HistoryGoneError())),
+    );
+    // Three pauses of 50 ms or more, and the waits of the polls.
+    expect(elapsedMs - 4 * WAIT_MS).to.be.at.least(150);
+  });
+
   it('does not count an answer from an older state as confirmation', async () => {
     const {seen, proofs} = await runWatch(
       [() => ({change: 'all', version: 5, rows: 1})],
