Platform: log the configuration that decided a refusal, and how it came

`refused` now has both, from the state by which the request was refused; `configuration applied` has the version before, the kind of read and the age. A read that brings a lower version leaves a line, where it was dropped in silence, and configurations applied are counted by kind of read. Who is refused doesn't change.

--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -19,7 +19,12 @@
 import {IncomingRequest, writeFailure, writeFailureUnended} from './exchange';
 import {CallerLimits} from './model';
 import {HeaderCodec, RequestMetadata} from './headercodec';
-import {AdmissionState, admitRequest, pickService} from './requestadmission';
+import {
+  AdmissionState,
+  admitRequest,
+  pickService,
+  RequestAdmission,
+} from './requestadmission';
 
 export interface CallerServerDependencies {
   readonly headers: HeaderCodec;
@@ -67,6 +72,8 @@
 /** Retry-After of a request that gave way for memory or descriptors, in ms. */
 const OVERLOAD_RETRY_AFTER_MS = 1_000;
 
+type Refusal = Extract<RequestAdmission, {readonly kind: 'refuse'}>;
+
 export class CallerServer {
   private readonly server: http.Server;
   private draining = false;
@@ -144,23 +151,19 @@
   private handle(request: ActiveRequest): void {
     const {req, res, arrivedMs} = request;
     if (this.draining) res.shouldKeepAlive = false;
-    const sendRefusal = (status: number, reason: string, retryMs?: number) =>
-      this.refuse(req, res, status, reason, retryMs);
-    const catalog = this.deps.catalog();
+    const state = this.admissionState();
     let metadata: RequestMetadata | undefined;
-    const admission = admitRequest(this.admissionState(), {
+    const admission = admitRequest(state, {
       host: req.headers.host,
       target: req.url ?? '',
       readAccount: () => {
         metadata = this.deps.headers.readRequest(req.headers);
         const {key} = metadata;
-        return key === undefined ? undefined : catalog.keys.get(key);
+        return key === undefined ? undefined : state.catalog.keys.get(key);
       },
     });
-    if (admission.kind === 'refuse') {
-      const {status, reason, retryAfterMs} = admission;
-      return sendRefusal(status, reason, retryAfterMs);
-    }
+    if (admission.kind === 'refuse')
+      return this.refuse(req, res, admission, state);
     const {configuration, route, account} = admission;
     const service = pickService(route, this.deps.random)!;
     const owner = account?.name ?? req.socket.remoteAddress ?? '';
@@ -196,15 +199,22 @@
   private refuse(
     req: http.IncomingMessage,
     res: http.ServerResponse,
-    status: number,
-    reason: string,
-    retryMs?: number,
+    {status, reason, retryAfterMs}: Refusal,
+    {catalog, configurationAgeMs}: AdmissionState,
   ): void {
     const {requestId} = this.deps.headers.readRequest(req.headers);
+    const {version, limits} = catalog.configuration ?? {};
     this.deps.countRefusal(status, reason);
-    this.deps.log('info', 'refused', {request: requestId, status, reason});
-    writeFailure(res, status, reason, retryMs);
-    const {limits} = this.deps.catalog().configuration ?? {};
+    this.deps.log('info', 'refused', {
+      request: requestId,
+      status,
+      reason,
+      version,
+      ageMs: Number.isFinite(configurationAgeMs)
+        ? Math.round(configurationAgeMs)
+        : undefined,
+    });
+    writeFailure(res, status, reason, retryAfterMs);
     discardBody(req, limits?.bodyBytes ?? MAX_DISCARDED_BYTES, () =>
       req.socket.destroy(),
     );
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -4,7 +4,7 @@
  */
 import {mayHaveBegun, runBeganMs} from '../duties/usagecounts';
 import {ServiceDemand, ZoneLoad} from '../duties/usagemessage';
-import {Clock, Instant, Timer} from '../kernel/clock';
+import {Clock, Instant, msSince, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {
   countFirstAttempt,
@@ -274,9 +274,20 @@
     const before = this.catalog;
     this.catalog = applyOperatorChange(before, change, isFullRead, asOf);
     const version = this.catalog.configuration?.version;
-    if (version !== before.configuration?.version) {
+    const held = before.configuration?.version;
+    if (version !== held) {
       this.classes = new Map();
-      this.log('info', 'configuration applied', {version});
+      this.log('info', 'configuration applied', {
+        version,
+        before: held,
+        fullRead: isFullRead,
+        ageMs: Math.round(msSince(this.catalog.operatorAsOf, this.clock)),
+      });
+    }
+    const read = change.configuration?.version;
+    if (read !== undefined && held !== undefined && read < held) {
+      const event = 'older configuration in the store; keeping the newer one';
+      this.log('info', event, {version: read, held, fullRead: isFullRead});
     }
     if (!this.catalog.zonesOut.equals(before.zonesOut)) {
       const zones = this.catalog.zonesOut.join(',');
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -276,7 +276,13 @@
     operatorTable(store, log),
     {
       handleChange(change, isFullRead, asOf) {
+        const before = dispatcher.currentCatalog().configuration;
         dispatcher.handleOperatorChange(change, isFullRead, asOf);
+        if (dispatcher.currentCatalog().configuration !== before) {
+          registry.increment('boragemill_configurations_applied_total', {
+            read: isFullRead ? 'full' : 'changes',
+          });
+        }
         for (const priority of dispatcher.competingPriorities()) {
           registry.registerGauge(
             `boragemill_waiting_requests{urgency="${priority}"}`,
