Explain: age of the configuration that has no such route

The message for a host and path without a route named the version only; whether that version is known to be the newest decides what the 404 proves.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -47,10 +47,9 @@
   const explanation = await fetchExplanation(address, options);
   if (options.json) write(JSON.stringify(explanation));
   if (explanation.reason === 'no such route') {
-    const {entry, configuration} = explanation;
     throw failure(
-      `${entry}: no route for ${options.host}${options.path} in ` +
-        `configuration ${configuration}; such a request gets 404`,
+      `${explanation.entry}: no route for ${options.host}${options.path} in ` +
+        `${configurationText(explanation)}; such a request gets 404`,
     );
   }
   if (!options.json) write(renderExplanation(explanation));
@@ -135,13 +134,10 @@
 
 /** The explanation as text. */
 export function renderExplanation(explanation: Explanation): string {
-  const {entry, zone, configuration, configurationAgeMs, route} = explanation;
-  const known =
-    configuration === undefined
-      ? 'no configuration'
-      : `configuration ${configuration}, confirmed ${configurationAgeMs} ms ago`;
+  const {entry, zone, route} = explanation;
   const lines = [
-    `${entry} in ${zone}, version ${explanation.version}, ${known}`,
+    `${entry} in ${zone}, version ${explanation.version}, ` +
+      configurationText(explanation),
   ];
   if (route) {
     lines.push(
@@ -167,6 +163,15 @@
   return lines.join('\n');
 }
 
+function configurationText({
+  configuration,
+  configurationAgeMs,
+}: Explanation): string {
+  return configuration === undefined
+    ? 'no configuration'
+    : `configuration ${configuration}, confirmed ${configurationAgeMs} ms ago`;
+}
+
 function decisionText(service: ServiceExplanation): string {
   const {decision, reason, eligible, waiting, before = 0} = service;
   const retry = rangeText(service.retryAfterMs);
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -220,7 +220,9 @@
   it('ends with a clear error for an unknown route or account', async () => {
     const route = await failureOf(run('/nowhere/1'));
     expect(route).to.include({exitCode: 1});
-    expect(route!.message).to.include('no route for desk.example/nowhere/1');
+    expect(route!.message).to.match(
+      /no route for desk\.example\/nowhere\/1 in configuration 3, confirmed \d+ ms ago;/,
+    );
     const account = await failureOf(run('/order/1', {account: 'nobody'}));
     expect(account).to.include({exitCode: 1});
     expect(account!.message).to.include('unknown account');
