Catalog: a store that has lost the configuration does not confirm it

What callers saw: after the store had come back from a copy, 404 for a route of a configuration that had been acknowledged and was not in the copy.

Cause: an entry keeps the newer configuration if the table has an older one, which is right, but the read of the older one counted as proof that the one held is the newest. The copy may lack newer ones as well.

Change: while the table's configuration is older than the one held, answers confirm nothing. Routes that are known are served as before, others get 503, and keys are refused once they cannot be checked any more, until the operator has written again.

Evidence: "is not confirmed by a store that has lost its configuration" failed before (100 instead of 0) and passes now. "never goes back to an older configuration" expected that a late answer with an older configuration confirms the newer one; the new test expects the contrary of the same read, and more.

--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -46,6 +46,11 @@
   readonly zonesOut: Set<string>;
   /** Latest moment at which this view of the operator's table was up to date. */
   readonly operatorAsOf: Instant;
+  /**
+   * Whether the store has lost the configuration that is held, and maybe newer ones.
+   * The view is not up to date until the operator has written it again.
+   */
+  readonly isConfigurationLost: boolean;
 }
 
 /**
@@ -72,6 +77,7 @@
   endpoints: Map(),
   zonesOut: Set(),
   operatorAsOf: NEVER,
+  isConfigurationLost: false,
 };
 
 export function applyOperatorChange(
@@ -85,19 +91,24 @@
   for (const [zone, out] of change.zones) {
     zonesOut = out ? zonesOut.add(zone) : zonesOut.remove(zone);
   }
-  const next = {...catalog, zonesOut};
-  const confirmed = asOf ? confirmOperatorTable(next, asOf) : next;
   const {configuration} = change;
-  if (!configuration) return confirmed;
   const known = catalog.configuration;
+  const isOlder =
+    configuration && known && configuration.version < known.version;
+  const isConfigurationLost = isOlder ?? catalog.isConfigurationLost;
+  const next = {...catalog, zonesOut, isConfigurationLost};
+  const confirmed = asOf ? confirmOperatorTable(next, asOf) : next;
+  if (!configuration) return confirmed;
   if (known && configuration.version <= known.version) return confirmed;
   return {...confirmed, ...indexConfiguration(configuration)};
 }
 
 export function confirmOperatorTable(catalog: Catalog, asOf: Instant): Catalog {
-  const {operatorAsOf} = catalog;
+  const {operatorAsOf, isConfigurationLost} = catalog;
   const isNewer = asOf.elapsedMs > operatorAsOf.elapsedMs;
-  return isNewer ? {...catalog, operatorAsOf: asOf} : catalog;
+  return isNewer && !isConfigurationLost
+    ? {...catalog, operatorAsOf: asOf}
+    : catalog;
 }
 
 /** Withdraws what confirmed the view of the operator's table. */
