Tables: the leading watch asks again for what an empty answer may have left out

What callers would see: a change of the configuration that is not in force until the next one, with a view that counts as confirmed all that time.

Cause: an empty answer names the store's newest version, and the next poll asks for the changes after it. If the store has held a change back from its polls meanwhile, as it does just before it drops its history, and the answer falls into that time, no later poll asks for that change. If the history that is dropped ends at or before that version, nothing tells.

Change: after an empty answer the leading watch polls from the state before it. No call more; the store looks at the changes of two polls in place of one.

Evidence: the new test failed before and passes now.

--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -112,6 +112,8 @@
 export class TableWatch<Change> {
   private readonly progress: StoreProgress;
   private state: StoreState | undefined;
+  /** State from which the next poll asks for changes; `state` or one before it. */
+  private pollFrom = NO_STATE;
   /** Whether a poll from the last full read has been answered. */
   private isFullReadProven = true;
   /** Whether the store has lacked the changes asked for since it last gave any. */
@@ -176,13 +178,14 @@
   /** Returns whether rows have changed since the last poll. */
   private async poll(): Promise<boolean> {
     if (this.state === undefined) return this.readAll();
-    return this.applyChanges(await this.nextChanges(this.state));
+    return this.applyChanges(await this.nextChanges(this.pollFrom));
   }
 
   private async readAll(): Promise<boolean> {
     const read = await this.fetch(() => this.table.read());
     if (!read.isCurrent) throw new OlderStateError();
     this.state = read.state;
+    this.pollFrom = read.state;
     this.isFullReadProven = false;
     this.recordArrival(read.asOf);
     this.follower.handleChange(read.change, true, read.asOf);
@@ -199,7 +202,9 @@
       throw new HistoryGoneError(state);
     // Rows from an older state are followed by the others, but confirm nothing.
     if (order < 0 || (!isCurrent && rows === 0)) throw new OlderStateError();
-    const changed = order > 0;
+    const changed = order > 0 || rows > 0;
+    // A change that an empty answer has left out is in the answer to the next poll.
+    this.pollFrom = this.role?.leads && rows === 0 ? known : state;
     this.state = state;
     this.isFullReadProven = true;
     this.wasHistoryGone = false;
--- a/test/tablewatch.test.ts
+++ b/test/tablewatch.test.ts
@@ -284,6 +284,21 @@
     expect(proofs).to.have.length(2);
   });
 
+  it('sees a change that an empty answer to its poll left out, if it leads', async () => {
+    const requestedVersions: number[] = [];
+    const answer = (rows: number, version: number) => (after: number) => {
+      requestedVersions.push(after);
+      return {change: `${rows} rows`, version, rows};
+    };
+    const {seen} = await runWatch(
+      [() => ({change: 'all', version: 5, rows: 1})],
+      [answer(0, 5), answer(0, 7), answer(1, 7), answer(0, 8), answer(0, 9)],
+      {progress: new StoreProgress(), leads: true, times: TIMES},
+    );
+    expect(requestedVersions).to.deep.equal([5, 5, 5, 7, 7]);
+    expect(seen.map(s => s.change)).to.include('1 rows');
+  });
+
   it('pauses if the history is gone again after each full read', async () => {
     const {elapsedMs} = await runWatch(
       Array.from({length: 4}, (_, i) => () => ({
