Tables: a store that lacks the state asked for has lost it

Change: a 410 whose version is below the one asked for, in the same era, says that the store does not have that state any more; older answers count from then on.

--- a/src/gateway/storeprogress.ts
+++ b/src/gateway/storeprogress.ts
@@ -56,9 +56,14 @@
     }
     this.olderSinceMs ??= nowMs;
     if (nowMs - this.olderSinceMs <= MAX_OLDER_ANSWERS_MS) return false;
+    this.recordLoss(state);
+    return true;
+  }
+
+  /** Records that the store is back at an older state, as it says itself. */
+  recordLoss(state: StoreState): void {
     this.olderSinceMs = undefined;
     this.newest = state;
-    return true;
   }
 
   /** Records the state in the leading watch's answer. */
--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -220,22 +220,37 @@
     call: () => Promise<DecodedRead<Change>>,
   ): Promise<FetchedRead<Change>> {
     const {newestState: floor} = this.progress;
-    const record = (state: StoreState) =>
-      this.progress.recordState(state, floor, this.clock.elapsedMs());
+    const read = await call();
+    return {...read, isCurrent: this.recordState(read.state, floor)};
+  }
+
+  private async fetchChanges(
+    after: StoreState,
+    waitMs: number,
+  ): Promise<FetchedRead<Change>> {
+    const {newestState: floor} = this.progress;
     try {
-      const read = await call();
-      return {...read, isCurrent: record(read.state)};
+      return await this.fetch(() => this.table.changes(after, waitMs));
     } catch (error) {
-      if (error instanceof HistoryGoneError && error.state) record(error.state);
+      if (!(error instanceof HistoryGoneError) || !error.state) throw error;
+      // The store does not have the state any more that it is asked for.
+      const {era, version} = error.state;
+      const isLost = era === after.era && version < after.version;
+      if (isLost) this.progress.recordLoss(error.state);
+      else this.recordState(error.state, floor);
       throw error;
     }
   }
 
+  private recordState(state: StoreState, floor: StoreState): boolean {
+    return this.progress.recordState(state, floor, this.clock.elapsedMs());
+  }
+
   /** Polls for changes. */
   private async nextChanges(after: StoreState): Promise<FetchedRead<Change>> {
     const {role} = this;
     const waitMs = role?.leads ? this.leadingWaitMs() : this.waitMs;
-    const answer = this.fetch(() => this.table.changes(after, waitMs));
+    const answer = this.fetchChanges(after, waitMs);
     if (!role || role.leads) return answer;
     const {progress} = role;
     const {recoveries} = progress;
@@ -245,7 +260,7 @@
       const {newestState} = progress;
       if (newestState.era > after.era) throw new HistoryGoneError(newestState);
       this.lastCheckMs = this.clock.elapsedMs();
-      const check = await this.fetch(() => this.table.changes(state, 0));
+      const check = await this.fetchChanges(state, 0);
       if (!check.isCurrent && check.rows === 0) throw new OlderStateError();
       const isRenewed = progress.recoveries !== recoveries;
       if (check.rows === 0 && !isRenewed) {
--- a/test/tablewatch.test.ts
+++ b/test/tablewatch.test.ts
@@ -271,6 +271,21 @@
     expect(events).to.include('store came back from a copy; reading all rows');
   });
 
+  it('takes the state of a store that does not have the one before', async () => {
+    const {seen} = await runWatch(
+      [
+        () => ({change: 'before', version: 12, rows: 1}),
+        () => ({change: 'copy', version: 6, rows: 1}),
+      ],
+      [
+        unchanged(12),
+        () => fail(new HistoryGoneError({era: 0, version: 4})),
+        unchanged(6),
+      ],
+    );
+    expect(seen.map(s => s.change)).to.deep.equal(['before', 'copy']);
+  });
+
   it('takes no answer of an earlier era that arrives late', async () => {
     const {seen, proofs} = await runWatch(
       [() => ({change: 'all', version: 5, rows: 1, era: 2})],
