Admission: how old a view may be for a final refusal follows from the bound

With a bound below 2,000 ms they could get a wrong 404.

Cause: the age was a constant of 2,000 ms, the bound of the small deployments.

Change: it is `config-apply-ms`.

--- a/src/gateway/callerserver.ts
+++ b/src/gateway/callerserver.ts
@@ -41,6 +41,8 @@
    * confirmed longer ago than this, in ms.
    */
   readonly maxConfigurationAgeMs: number;
+  /** Time within which a configuration must be in force, in ms. */
+  readonly configurationMs: number;
   /**
    * Time after an interruption of the operator's table until the store is trusted to
    * answer from its newest state, in ms.
@@ -137,12 +139,13 @@
 
   /** The state by which requests are admitted. */
   admissionState(): AdmissionState {
-    const {catalog, clock, settleMs} = this.deps;
+    const {catalog, clock, settleMs, configurationMs} = this.deps;
     const {operatorInterruptedMs} = catalog();
     return {
       catalog: catalog(),
       isSettled: clock.elapsedMs() - operatorInterruptedMs >= settleMs,
       configurationAgeMs: this.configurationAgeMs(),
+      finalRefusalAgeMs: configurationMs,
       maxConfigurationAgeMs: this.deps.maxConfigurationAgeMs,
       stopping: this.closing,
     };
--- a/src/gateway/requestadmission.ts
+++ b/src/gateway/requestadmission.ts
@@ -41,6 +41,11 @@
   readonly configurationAgeMs: number;
   /** Whether the operator's table has been followed without interruption lately. */
   readonly isSettled: boolean;
+  /**
+   * Age above which a newer configuration may have to be in force, so that an unknown
+   * route or key is not refused for good, in ms.
+   */
+  readonly finalRefusalAgeMs: number;
   /** Age above which keys cannot be checked, in ms. */
   readonly maxConfigurationAgeMs: number;
   /** Whether the process takes no new requests. */
@@ -60,13 +65,6 @@
 /** Retry-After while the configuration may be out of date. */
 const STALE_RETRY_AFTER_MS = 1_500;
 
-/**
- * An unknown route or key is answered with 404 or 401 only if the
- * configuration was confirmed at most this long ago, and settled; otherwise a newer
- * one may contain it.
- */
-const MAX_AGE_FOR_FINAL_REFUSAL_MS = 2_000;
-
 export function admitRequest(
   state: AdmissionState,
   {host, target, readAccount}: AdmissionRequest,
@@ -76,7 +74,7 @@
   if (state.stopping) return unavailable('stopping');
   if (!configuration) return unavailable('no configuration');
   const mayBeOld =
-    !state.isSettled || configurationAgeMs > MAX_AGE_FOR_FINAL_REFUSAL_MS;
+    !state.isSettled || configurationAgeMs > state.finalRefusalAgeMs;
   const route = matchRoute(catalog, host, target);
   if (!route) {
     if (mayBeOld) return stale('configuration may be old');
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -269,6 +269,7 @@
         reason,
       }),
     maxConfigurationAgeMs: keyAgeMs,
+    configurationMs: bounds.configurationMs,
     settleMs: bounds.contactMs,
     random: Math.random,
   });
--- a/test/configurationlog.test.ts
+++ b/test/configurationlog.test.ts
@@ -128,6 +128,7 @@
         submit: () => expect.fail('the request was admitted'),
         countRefusal: ignore,
         maxConfigurationAgeMs: 5_000,
+        configurationMs: 2_000,
         settleMs: 3_000,
         random: () => 0.5,
       });
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -566,6 +566,7 @@
     isSettled: true,
     catalog,
     configurationAgeMs: 0,
+    finalRefusalAgeMs: 2_000,
     maxConfigurationAgeMs: 3_500,
     stopping: false,
   };
@@ -591,6 +592,11 @@
       request: {...request, host: 'other'},
       is: '503 configuration may be old',
     },
+    {
+      state: {...old, finalRefusalAgeMs: 3_000},
+      request: {...request, host: 'other'},
+      is: '404 no such route',
+    },
     {state: old, request: stranger, is: '503 configuration may be old'},
     {
       state: unsettled,
--- a/test/runcounting.test.ts
+++ b/test/runcounting.test.ts
@@ -110,6 +110,7 @@
         ),
       countRefusal: () => undefined,
       maxConfigurationAgeMs: Infinity,
+      configurationMs: 2_000,
       settleMs: 0,
       random: Math.random,
     });
