--- a/standins/caller.ts
+++ b/standins/caller.ts
@@ -1,6 +1,6 @@
 /**
- * Stand-in for a caller of the platform's entry: sends one request on a
- * connection of its own and collects the answer.
+ * Stand-in for a caller of the platform's entry: sends one request and collects
+ * the answer.
  */
 import http from 'node:http';
 import type net from 'node:net';
@@ -21,12 +21,14 @@
   readonly headers: http.OutgoingHttpHeaders;
   readonly body?: string;
   readonly onSocket?: (socket: net.Socket) => void;
+  /** Keeps connections; without it, the request has one of its own. */
+  readonly agent?: http.Agent;
 }
 
 /** Sends a GET or, if it has a body, a POST; rejects if no answer begins. */
 export function sendAsCaller(request: CallerRequest): Promise<Reply> {
   const startMs = Date.now();
-  const {entry, path, headers, body, onSocket} = request;
+  const {entry, path, headers, body, onSocket, agent = false} = request;
   const [host, port] = entry.split(':');
   return new Promise((resolve, reject) => {
     const sent = http.request({
@@ -34,7 +36,7 @@
       port,
       method: body === undefined ? 'GET' : 'POST',
       path,
-      agent: false,
+      agent,
       headers,
     });
     sent.on('error', reject);
--- a/standins/platformprocess.ts
+++ b/standins/platformprocess.ts
@@ -25,6 +25,8 @@
   readonly endpoint?: string;
   readonly memoryMb: number;
   readonly maxFds: number;
+  /** Bounds that differ from the usual ones. */
+  readonly bounds?: object;
 }
 
 export class PlatformProcess {
@@ -95,8 +97,8 @@
     }
   }
 
-  async stop(): Promise<void> {
-    this.child.kill('SIGKILL');
+  async stop(signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+    this.child.kill(signal);
     await this.exited;
     fs.rmSync(this.directory, {recursive: true, force: true});
   }
@@ -128,6 +130,7 @@
       'revoke-ms': 5_000,
       'retry-budget-ratio': 0.2,
       'budget-window-s': 10,
+      ...options.bounds,
     },
     platform: {address: options.store},
   };
