Tables: orders in which an older state still counted, from the review

- A long poll that a lagging replica ends was dated by its end, although another watch had learned of a newer state meanwhile.
It is dated by its call then, and the next poll does not wait.
- A 410 with a lower version in a named era counted as a loss.
Within a named era nothing does any more, neither that nor 30 s of older answers; without one, older answers with an outage between them do not add up.
- A 410 that arrived late took the newest state back.
- Checks that showed an older state left their long polls open, 15 in 25 s.
- A view that was withdrawn lost its earlier confirmation too.
The one before the full read is restored.
- While each full read is followed by a lost history, the pause grows.

--- a/src/gateway/catalog.ts
+++ b/src/gateway/catalog.ts
@@ -46,6 +46,8 @@
   readonly zonesOut: Set<string>;
   /** Latest moment at which this view of the operator's table was up to date. */
   readonly operatorAsOf: Instant;
+  /** `operatorAsOf` before the last full read. */
+  readonly asOfBeforeRead: Instant;
   /**
    * Whether the store has lost the configuration that is held, and maybe newer ones.
    * The view is not up to date until the operator has written it again.
@@ -79,6 +81,7 @@
   endpoints: Map(),
   zonesOut: Set(),
   operatorAsOf: NEVER,
+  asOfBeforeRead: NEVER,
   isConfigurationLost: false,
   operatorInterruptedMs: -Infinity,
 };
@@ -99,7 +102,10 @@
   const isOlder =
     configuration && known && configuration.version < known.version;
   const isConfigurationLost = isOlder ?? catalog.isConfigurationLost;
-  const next = {...catalog, zonesOut, isConfigurationLost};
+  const asOfBeforeRead = isFullRead
+    ? catalog.operatorAsOf
+    : catalog.asOfBeforeRead;
+  const next = {...catalog, zonesOut, isConfigurationLost, asOfBeforeRead};
   const confirmed = asOf ? confirmOperatorTable(next, asOf) : next;
   if (!configuration) return confirmed;
   if (known && configuration.version <= known.version) return confirmed;
@@ -121,9 +127,9 @@
   return {...catalog, operatorInterruptedMs: nowMs};
 }
 
-/** Withdraws what confirmed the view of the operator's table. */
-export function doubtOperatorTable(catalog: Catalog): Catalog {
-  return {...catalog, operatorAsOf: NEVER};
+/** Withdraws what the last full read of the operator's table has confirmed. */
+export function withdrawConfirmation(catalog: Catalog): Catalog {
+  return {...catalog, operatorAsOf: catalog.asOfBeforeRead};
 }
 
 export function applyEndpointChange(
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -15,18 +15,18 @@
 } from '../routing/retry';
 import {clearFailures, emptyAvoidance, recordFailure} from './avoidance';
 import {
+  applyEndpointChange,
+  applyOperatorChange,
   Catalog,
   confirmOperatorTable,
-  doubtOperatorTable,
-  interruptOperatorTable,
   emptyCatalog,
   EndpointChange,
-  applyEndpointChange,
   excludeReplacedEndpoint,
+  interruptOperatorTable,
   OperatorChange,
-  applyOperatorChange,
   Registration,
   servingEndpoints,
+  withdrawConfirmation,
 } from './catalog';
 import {
   Choice,
@@ -305,8 +305,8 @@
     this.catalog = interruptOperatorTable(this.catalog, this.clock.elapsedMs());
   }
 
-  handleOperatorDoubt(): void {
-    this.catalog = doubtOperatorTable(this.catalog);
+  withdrawOperatorConfirmation(): void {
+    this.catalog = withdrawConfirmation(this.catalog);
   }
 
   handleEndpointChange(change: EndpointChange, isFullRead: boolean): void {
--- a/src/gateway/requestadmission.ts
+++ b/src/gateway/requestadmission.ts
@@ -17,6 +17,7 @@
   | 'no configuration'
   | 'no such route'
   | 'configuration may be old'
+  | 'configuration not settled'
   | 'keys cannot be checked'
   | 'unknown key'
   | 'no service';
@@ -73,24 +74,26 @@
   const {configuration} = catalog;
   if (state.stopping) return unavailable('stopping');
   if (!configuration) return unavailable('no configuration');
-  const mayBeOld =
-    !state.isSettled || configurationAgeMs > state.finalRefusalAgeMs;
+  const doubt = doubtOf(state);
   const route = matchRoute(catalog, host, target);
-  if (!route) {
-    if (mayBeOld) return stale('configuration may be old');
-    return refusal(404, 'no such route');
-  }
+  if (!route) return doubt ? stale(doubt) : refusal(404, 'no such route');
   const account = readAccount();
   if (configuration.requiresKeys && !route.public) {
     if (configurationAgeMs > state.maxConfigurationAgeMs)
       return stale('keys cannot be checked');
-    if (!account && mayBeOld) return stale('configuration may be old');
-    if (!account) return refusal(401, 'unknown key');
+    if (!account) return doubt ? stale(doubt) : refusal(401, 'unknown key');
   }
   if (weightedServices(route).length === 0) return unavailable('no service');
   return {kind: 'admit', configuration, route, account};
 }
 
+/** Why a route or key that is not known may be in a newer configuration. */
+function doubtOf(state: AdmissionState): AdmissionRefusal | undefined {
+  const {configurationAgeMs, finalRefusalAgeMs, isSettled} = state;
+  if (configurationAgeMs > finalRefusalAgeMs) return 'configuration may be old';
+  return isSettled ? undefined : 'configuration not settled';
+}
+
 function refusal(
   status: 401 | 404 | 503,
   reason: AdmissionRefusal,
--- a/src/gateway/storeprogress.ts
+++ b/src/gateway/storeprogress.ts
@@ -14,10 +14,12 @@
 import {compareStates, NO_STATE, StoreState} from './storestate';
 
 /**
- * Time after which a store that has only given older answers counts as having lost
- * its newest state, in milliseconds.
+ * Time after which a store that names no era and has only given older answers counts
+ * as having lost its newest state, in milliseconds.
  */
 const MAX_OLDER_ANSWERS_MS = 30_000;
+/** Longest time between two such answers in a row, in milliseconds. */
+const MAX_OLDER_ANSWER_GAP_MS = 5_000;
 
 export class StoreProgress {
   /** State in the last answer to the leading watch. */
@@ -26,6 +28,7 @@
   private newest = NO_STATE;
   /** When the first of the latest answers that were all older arrived. */
   private olderSinceMs: number | undefined;
+  private lastOlderMs = -Infinity;
   private reachable = true;
   private recoveryCount = 0;
   private readonly waiting = new Set<{
@@ -54,6 +57,11 @@
       if (isNewEra) this.resumeWaiting(() => true);
       return true;
     }
+    // An era ends only with the next one.
+    if (floor.era > 0) return false;
+    if (nowMs - this.lastOlderMs > MAX_OLDER_ANSWER_GAP_MS)
+      this.olderSinceMs = undefined;
+    this.lastOlderMs = nowMs;
     this.olderSinceMs ??= nowMs;
     if (nowMs - this.olderSinceMs <= MAX_OLDER_ANSWERS_MS) return false;
     this.recordLoss(state);
--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -7,8 +7,8 @@
  * table is read again. Each answer confirms that the view was up to date when
  * the store wrote it, unless it shows an older state than the process has seen.
  *
- * If the store has come back from a copy, the versions after the last one read are
- * other ones than before, and the whole table is read again.
+ * If the store has come back from a copy, it gives out versions again for other changes,
+ * and the whole table is read again.
  *
  * A process that has just started has seen no state. If the first poll after a full
  * read finds that the changes since then are gone, the read was of an older state, and
@@ -21,7 +21,7 @@
  * again after a failure, the others poll anew, because their connections may have
  * gone silent with its own. watchtimes.ts has the times of these steps.
  */
-import {Clock, Instant, msSince, Timer} from '../kernel/clock';
+import {Clock, Instant, msSince, readInstant, Timer} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {StoreProgress} from './storeprogress';
 import {compareStates, NO_STATE, StoreState} from './storestate';
@@ -81,9 +81,9 @@
    * Called when the table was not followed: a call failed, the store had dropped its
    * history, or it answered from an older state.
    */
-  handleInterruption(): void;
+  handleInterruption?(): void;
   /** Called when the last full read was of an older state than its date says. */
-  handleOlderRead(): void;
+  handleOlderRead?(): void;
 }
 
 /** Limit of the backoff; polls must resume well before keys are refused. */
@@ -160,14 +160,14 @@
         if (changed) await this.sleep(CHANGE_PAUSE_MS);
       } catch (error) {
         if (this.stopped) return;
-        this.follower.handleInterruption();
+        this.follower.handleInterruption?.();
         if (error instanceof HistoryGoneError) {
           const {wasHistoryGone} = this;
           if (!wasHistoryGone) this.logFullRead(error);
           this.wasHistoryGone = true;
           this.state = undefined;
           // The history had gone before the read, which dated itself later.
-          if (!this.isFullReadProven) this.follower.handleOlderRead();
+          if (!this.isFullReadProven) this.follower.handleOlderRead?.();
           if (!wasHistoryGone) continue;
         }
         this.recordFailure(error);
@@ -226,8 +226,13 @@
     call: () => Promise<DecodedRead<Change>>,
   ): Promise<FetchedRead<Change>> {
     const {newestState: floor} = this.progress;
+    const sent = readInstant(this.clock);
     const read = await call();
-    return {...read, isCurrent: this.recordState(read.state, floor)};
+    const isCurrent = this.recordState(read.state, floor);
+    // If another watch has seen a newer state meanwhile, only the time of the call is
+    // certain.
+    const isPassed = compareStates(read.state, this.progress.newestState) < 0;
+    return {...read, asOf: isPassed ? sent : read.asOf, isCurrent};
   }
 
   private async fetchChanges(
@@ -239,9 +244,13 @@
       return await this.fetch(() => this.table.changes(after, waitMs));
     } catch (error) {
       if (!(error instanceof HistoryGoneError) || !error.state) throw error;
-      // The store does not have the state any more that it is asked for.
+      // A store that names no era does not have the state any more that it is asked for.
       const {era, version} = error.state;
-      const isLost = era === after.era && version < after.version;
+      const isLost =
+        era === 0 &&
+        after.era === 0 &&
+        version < after.version &&
+        this.progress.newestState === floor;
       if (isLost) this.progress.recordLoss(error.state);
       else this.recordState(error.state, floor);
       throw error;
@@ -267,7 +276,6 @@
       if (newestState.era > after.era) throw new HistoryGoneError(newestState);
       this.lastCheckMs = this.clock.elapsedMs();
       const check = await this.fetchChanges(state, 0);
-      if (!check.isCurrent && check.rows === 0) throw new OlderStateError();
       const isRenewed = progress.recoveries !== recoveries;
       if (check.rows === 0 && !isRenewed) {
         if (compareStates(check.state, state) > 0) state = check.state;
@@ -359,6 +367,8 @@
   private recordSuccess(): void {
     if (this.role?.leads && this.state !== undefined)
       this.role.progress.recordAnswer(this.state);
+    // The next poll tells whether the store has the changes since this read.
+    if (this.wasHistoryGone && !this.isFullReadProven) return;
     if (this.failures > 0) {
       const {failures} = this;
       this.log('info', 'table read recovered', {
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -299,7 +299,7 @@
       },
       handleNoChange: asOf => dispatcher.handleOperatorConfirmation(asOf),
       handleInterruption: () => dispatcher.handleOperatorInterruption(),
-      handleOlderRead: () => dispatcher.handleOperatorDoubt(),
+      handleOlderRead: () => dispatcher.withdrawOperatorConfirmation(),
     },
     times.leadingWaitMs,
     clock,
@@ -313,8 +313,6 @@
       handleChange: (change, isFullRead) =>
         dispatcher.handleEndpointChange(change, isFullRead),
       handleNoChange: () => undefined,
-      handleInterruption: () => undefined,
-      handleOlderRead: () => undefined,
     },
     times.followingWaitMs,
     clock,
@@ -328,8 +326,6 @@
       handleChange: (change, isFullRead) =>
         crashMonitor.handleRecords(change, isFullRead),
       handleNoChange: () => undefined,
-      handleInterruption: () => undefined,
-      handleOlderRead: () => undefined,
     },
     times.followingWaitMs,
     clock,
@@ -520,8 +516,6 @@
         catalog = applyOperatorChange(catalog, change, isFullRead, asOf);
       },
       handleNoChange: () => undefined,
-      handleInterruption: () => undefined,
-      handleOlderRead: () => undefined,
     },
     SIDECAR_POLL_WAIT_MS,
     clock,
@@ -540,8 +534,6 @@
         );
       },
       handleNoChange: () => undefined,
-      handleInterruption: () => undefined,
-      handleOlderRead: () => undefined,
     },
     SIDECAR_POLL_WAIT_MS,
     clock,
