Tables: checks that show a new era, and stores that stop naming theirs

A check that was the first to learn of a new era was taken for one without a change, and its watch waited on for the leading one. Answers without an era, from a store that has named one, never counted as a loss, so a store that names none any more would have left the configuration unconfirmed for good; 30 s of nothing else count now.

Evidence: "takes older answers without an era for a loss in the end (era 3)" failed before; the check is corrected by reading.

--- a/src/gateway/requestadmission.ts
+++ b/src/gateway/requestadmission.ts
@@ -6,7 +6,7 @@
  * A final refusal (404 or 401) could then be wrong, and an accepted key may have
  * been revoked, so both are replaced by a refusal that asks the caller to retry. The
  * same holds for a while after the table could not be followed: the store may then
- * answer from a state of before, and a caller does not repeat a request after a final
+ * answer from an earlier state, and a caller does not repeat a request after a final
  * refusal.
  */
 import {Catalog, matchRoute} from './catalog';
--- a/src/gateway/storeprogress.ts
+++ b/src/gateway/storeprogress.ts
@@ -14,8 +14,8 @@
 import {compareStates, NO_STATE, StoreState} from './storestate';
 
 /**
- * Time after which a store that names no era and has only given older answers counts
- * as having lost its newest state, in milliseconds.
+ * Time after which a store that has only given older answers, without naming its era,
+ * counts as having lost its newest state, in milliseconds.
  */
 const MAX_OLDER_ANSWERS_MS = 30_000;
 /** Longest time between two such answers in a row, in milliseconds. */
@@ -57,8 +57,8 @@
       if (isNewEra) this.resumeWaiting(() => true);
       return true;
     }
-    // An era ends only with the next one.
-    if (floor.era > 0) return false;
+    // A named era ends only with the next one.
+    if (floor.era > 0 && state.era > 0) return false;
     if (nowMs - this.lastOlderMs > MAX_OLDER_ANSWER_GAP_MS)
       this.olderSinceMs = undefined;
     this.lastOlderMs = nowMs;
--- a/src/gateway/tablewatch.ts
+++ b/src/gateway/tablewatch.ts
@@ -277,7 +277,8 @@
       this.lastCheckMs = this.clock.elapsedMs();
       const check = await this.fetchChanges(state, 0);
       const isRenewed = progress.recoveries !== recoveries;
-      if (check.rows === 0 && !isRenewed) {
+      const isSameEra = check.state.era === after.era;
+      if (check.rows === 0 && isSameEra && !isRenewed) {
         if (compareStates(check.state, state) > 0) state = check.state;
         continue;
       }
--- a/test/olderanswers.test.ts
+++ b/test/olderanswers.test.ts
@@ -140,16 +140,18 @@
       expect(progress.recordState(stateAt(5), floor, ms)).to.equal(false);
   });
 
-  it('takes older answers alone for a loss in the end, without an era', () => {
-    const {progress} = scene;
-    progress.recordState(stateAt(9), stateAt(0), 0);
-    const floor = progress.newestState;
-    const results: boolean[] = [];
-    for (let ms = 0; ms <= 32_000; ms += 400)
-      results.push(progress.recordState(stateAt(5), floor, ms));
-    expect(results[0]).to.equal(false);
-    expect(results).to.include(true);
-  });
+  for (const era of [0, 3]) {
+    it(`takes older answers without an era for a loss in the end (era ${era})`, () => {
+      const {progress} = scene;
+      progress.recordState(stateAt(9, era), stateAt(0, era), 0);
+      const floor = progress.newestState;
+      const results: boolean[] = [];
+      for (let ms = 0; ms <= 32_000; ms += 400)
+        results.push(progress.recordState(stateAt(5), floor, ms));
+      expect(results[0]).to.equal(false);
+      expect(results).to.include(true);
+    });
+  }
 
   it('keeps few polls open if its checks show an older state', async () => {
     await scene.start(
