Log what the end of each attempt was taken for, and cleared prompt parts

Three hypotheses predict different ends of attempts and different clearings, which no log line showed: `ends` of the request line and `prompt part cleared` do. All ends of an attempt now go through endAttempt; no decision is changed.

--- a/src/gateway/crashmonitor.ts
+++ b/src/gateway/crashmonitor.ts
@@ -216,6 +216,7 @@
       if (atMs <= (this.quarantine.clearedMs.get(part) ?? -Infinity)) continue;
       this.addOwn(`cleared/${keyOf(part)}`, {kind: 'cleared', part, atMs});
       cleared = true;
+      this.deps.log('info', 'prompt part cleared', {part, atMs});
     }
     if (cleared) this.scheduleUpdate();
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,6 +13,7 @@
 import {Clock, Timer} from '../kernel/clock';
 import {InputPace} from '../kernel/inputpace';
 import {AnswerPieces} from './answerpieces';
+import {AttemptEnd, ConnectionEnd, framingOf} from './attemptend';
 import {
   AttemptOutcome,
   AttemptState,
@@ -101,6 +102,9 @@
   readonly outcome: AttemptOutcome | 'answered' | 'aborted';
   readonly ms: number;
   readonly reason?: string;
+  readonly end: AttemptEnd;
+  /** What the end was taken to show about the endpoint. */
+  readonly evidence: EndpointEvidence;
   /** Load of the endpoint as estimated when the attempt was sent. */
   readonly estimate: LoadEstimate;
 }
@@ -176,6 +180,8 @@
   private readonly furtherEvents = new ByteCollector(LARGEST_ANSWER_BYTES);
   /** Events of the current attempt. */
   private events = 0;
+  /** How the connection of the current attempt has ended, unless it was stopped. */
+  private connectionEnd: ConnectionEnd = 'stopped';
   private timing: StreamTiming | undefined;
   /** Whether a run of the request was reported. */
   private hasRun = false;
@@ -235,6 +241,7 @@
     this.answer = undefined;
     this.releaseAnswer();
     this.events = 0;
+    this.connectionEnd = 'stopped';
     const isResumption = this.incoming.res.headersSent;
     this.splitter = new EventSplitter(this.splitter.lastEventId, isResumption);
     this.pieces = new AnswerPieces(clock);
@@ -256,11 +263,15 @@
       {
         head: head => this.handleHead(head),
         data: chunk => this.handleData(chunk),
-        end: () => this.handleAnswerEnd(),
-        broken: (sent, reason) =>
-          sent
-            ? this.handleAttemptEnd('broken', reason, 'disconnected')
-            : this.handleAttemptEnd('unsent', reason),
+        end: () => {
+          this.connectionEnd = 'complete';
+          this.handleAnswerEnd();
+        },
+        broken: (sent, reason) => {
+          this.connectionEnd = sent ? 'lost' : 'unopened';
+          if (!sent) return this.handleAttemptEnd('unsent', reason);
+          this.handleAttemptEnd('broken', reason, 'disconnected');
+        },
       },
       this.deps.pace,
     );
@@ -298,9 +309,8 @@
     if (!this.dispatcher.takeRetry(this)) return;
     this.reportRun(false);
     this.attempt.abort();
-    this.recordAttempt('broken', 'reports of the endpoint have stopped');
     this.attempts = attempts;
-    this.releaseAttempt('none');
+    this.endAttempt('broken', 'none', 'reports of the endpoint have stopped');
     this.dispatcher.place(this);
   }
 
@@ -468,8 +478,7 @@
       return this.handleAttemptEnd('broken', 'resumed without a new event');
     }
     if (!this.isStream) this.dispatcher.reportProgress(this);
-    this.recordAttempt('answered');
-    this.releaseAttempt('works');
+    this.endAttempt('answered', 'works');
     if (this.isStream) {
       if (!this.incoming.res.headersSent) this.writeAnswerHead();
       this.writeEvents();
@@ -493,8 +502,7 @@
     const deliverable = head.status < 500 && answer.signed;
     if (deliverable) {
       this.reportRun(true);
-      this.recordAttempt('answered');
-      this.releaseAttempt('works');
+      this.endAttempt('answered', 'works');
       this.writeWholeAnswer();
       return this.finish('answered', head.status);
     }
@@ -509,8 +517,7 @@
     if (this.over || !this.endpoint) return;
     if (outcome === 'failed' || outcome === 'broken')
       this.reportRun(outcome === 'failed');
-    this.recordAttempt(outcome, reason);
-    this.releaseAttempt(evidence);
+    this.endAttempt(outcome, evidence, reason);
     this.attempts = countAttempt(this.attempts, outcome);
     if (this.incoming.res.headersSent && !this.splitter.canBeResumed) {
       return this.breakOffAnswer(reason);
@@ -537,22 +544,40 @@
     this.answerWithFailure(UNKNOWN_OUTCOME_STATUS, reason);
   }
 
-  private recordAttempt(
+  /** Every attempt ends here, however it ends. */
+  private endAttempt(
     outcome: AttemptRecord['outcome'],
+    evidence: EndpointEvidence,
     reason?: string,
   ): void {
-    if (!this.endpoint) return;
-    const ms = Math.round(this.deps.clock.elapsedMs() - this.startedMs);
     const {endpoint, estimate} = this;
-    this.tries.push({endpoint: endpoint.id, outcome, ms, reason, estimate});
-  }
-
-  private releaseAttempt(evidence: EndpointEvidence): void {
-    const id = this.endpoint?.id;
+    const end = this.attemptEnd();
     this.endpoint = undefined;
     this.attempt = undefined;
     this.attemptTimer?.cancel();
-    if (id !== undefined) this.dispatcher.releaseEndpoint(this, id, evidence);
+    if (!endpoint) return;
+    const ms = Math.round(this.deps.clock.elapsedMs() - this.startedMs);
+    this.tries.push({
+      endpoint: endpoint.id,
+      outcome,
+      ms,
+      reason,
+      end,
+      evidence,
+      estimate,
+    });
+    this.dispatcher.releaseEndpoint(this, endpoint.id, evidence);
+  }
+
+  private attemptEnd(): AttemptEnd {
+    const {head, events, isStream, body, splitter, connectionEnd} = this;
+    const isWithin = isStream ? splitter.hasPartialEvent : body.length > 0;
+    return {
+      framing: head && framingOf(head),
+      events,
+      hasPartialEvent: isWithin,
+      connection: connectionEnd,
+    };
   }
 
   private handleDeadline(): void {
@@ -581,8 +606,7 @@
     if (!this.attempt) return;
     if (!this.answer?.notRun) this.reportRun(false);
     this.attempt.abort();
-    this.recordAttempt('aborted');
-    this.releaseAttempt(evidence);
+    this.endAttempt('aborted', evidence);
   }
 
   /** What an attempt that is stopped shows about its endpoint. */
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -21,6 +21,7 @@
 import {callerDescriptors} from './gateway/connections';
 import {AnswerAccount, BodyAccount} from './gateway/memoryaccounts';
 import {limitLog} from './observe/loglimit';
+import {describeEnd} from './gateway/attemptend';
 import {CrashMonitor} from './gateway/crashmonitor';
 import {RequestDispatcher} from './gateway/dispatcher';
 import {Exchange, requestDeadlineMs} from './gateway/exchange';
@@ -195,6 +196,9 @@
         tries: ended.tries
           .map(t => `${t.endpoint}:${t.outcome}:${t.ms}:${t.reason ?? ''}`)
           .join(' '),
+        ends: ended.tries
+          .map(({end, evidence}) => `${describeEnd(end)}:${evidence}`)
+          .join(' '),
         estimates: ended.tries
           .map(({estimate: {requests, reportAgeMs = -1}}) =>
             [requests, Math.round(reportAgeMs)].join(':'),
--- a/test/passmodel.ts
+++ b/test/passmodel.ts
@@ -59,6 +59,13 @@
 const ANSWERED = {
   endpoint: '',
   outcome: 'answered' as const,
+  end: {
+    framing: 'chunks' as const,
+    events: 1,
+    hasPartialEvent: false,
+    connection: 'complete' as const,
+  },
+  evidence: 'works' as const,
   estimate: {requests: 0, reportAgeMs: undefined},
 };
 
