Relate crashes to prompts by what becomes of the endpoint's process

Cause: the end of an attempt was taken to say whether the endpoint's process had ended. An answer without a length ends with its connection, so the end of the process looked like its own, and even a framed answer may be the last that a process wrote. Only cut answers were related to a crash, and any second event or whole answer cleared its parts, although its process ended with it.

Each attempt that may have run now waits until its process is known to have ended or to have lived on (recentprompts.ts): the first makes its prompt part of the crash, the second clears the parts of its answer. An attempt that is seen to end only after the end of the process was confirmed is added to the crash. One module says from the facts how a request was involved (attemptend.ts), and every end of an attempt goes through it. Nothing depends on how the answer ends, so there is no form left that hides a crash.

The tests of crashmonitor.test.ts keep their checks with the new calls.

--- a/src/gateway/attemptend.ts
+++ b/src/gateway/attemptend.ts
@@ -1,10 +1,11 @@
 /**
- * The facts about the end of an attempt: how its answer marks its end, what had
- * arrived of it, and how the connection ended.
+ * The facts about the end of an attempt, and what they say of the endpoint's process.
  *
  * An answer with a length or in chunks says itself whether it is complete. Any
  * other answer ends with its connection, which looks the same whether the
- * endpoint has closed it or its process has ended.
+ * endpoint has closed it or its process has ended. Even a complete answer may have been
+ * the last that a process wrote. So the end of an attempt never says that the process
+ * lives or has crashed; it only says how the request was involved if it has.
  */
 import type {AnswerHead} from './upstream';
 
@@ -21,6 +22,25 @@
   /** This process closed it. */
   | 'stopped';
 
+export type AnswerKind =
+  /** No head has arrived. */
+  | 'none'
+  /** The endpoint says that it has not run the request. */
+  | 'rejection'
+  | 'failure'
+  /** A success without the endpoint's seal. */
+  | 'unsigned'
+  | 'success';
+
+/** How a request was involved in what became of the endpoint's process. */
+export type Involvement =
+  /** It was not run. */
+  | 'none'
+  /** It may have run. */
+  | 'present'
+  /** The endpoint had begun to write an answer on it. */
+  | 'answered';
+
 export interface AttemptEnd {
   /** Undefined if no head has arrived. */
   readonly framing: Framing | undefined;
@@ -29,6 +49,9 @@
   /** Whether bytes of the body have arrived after the last complete event. */
   readonly hasPartialEvent: boolean;
   readonly connection: ConnectionEnd;
+  readonly answer: AnswerKind;
+  /** Whether an event of a stream, or another answer as a whole, had arrived. */
+  readonly hasContent: boolean;
 }
 
 const BODILESS_STATUSES = new Set([204, 304]);
@@ -41,6 +64,15 @@
     : 'connection';
 }
 
+export function involvement({
+  connection,
+  answer,
+  hasContent,
+}: AttemptEnd): Involvement {
+  if (connection === 'unopened' || answer === 'rejection') return 'none';
+  return answer === 'success' && hasContent ? 'answered' : 'present';
+}
+
 /** For logs: `framing:received:connection`. */
 export function describeEnd(end: AttemptEnd): string {
   const {framing = 'none', events, hasPartialEvent, connection} = end;
--- a/src/gateway/crashmonitor.ts
+++ b/src/gateway/crashmonitor.ts
@@ -2,18 +2,22 @@
  * Relates endpoints that crash to the requests that were there, and shares this
  * with the other gateways through the store.
  *
- * A gateway sees only its own connections break, and connections also break
- * when an endpoint's group stalls or a link is cut. A break is therefore
- * evidence only when the end of the endpoint's process is confirmed: by its
- * sidecar, which no longer finds the process, or by the registration of another
- * process at its address. What gateways conclude from all crashes together is
- * decided in `quarantine.ts`.
+ * A gateway sees only the ends of its own attempts, and no such end shows whether
+ * the endpoint's process goes on: connections also break when a group stalls or a
+ * link is cut, and an answer may look complete although its process ended with it.
+ * So each attempt waits in `recentprompts.ts` for what becomes of the process. Its
+ * prompt is evidence when the end of the process is confirmed: by its sidecar, which
+ * no longer finds the process, or by the registration of another process at its
+ * address. Its answer clears the prompt's parts when the process shows that it has
+ * outlived it: by a later answer, a report of its sidecar, or by staying registered.
+ * What gateways conclude from all crashes together is decided in `quarantine.ts`.
  */
 import {createHash} from 'node:crypto';
 import {LRUCache} from 'lru-cache';
 import {Clock} from '../kernel/clock';
 import {Log} from '../observe/log';
 import {CrashChange, CrashRecord, Endpoint, Prompt} from './model';
+import {EndedAttempt, processOf, RecentPrompts} from './recentprompts';
 import {
   Admission,
   addRecord,
@@ -46,40 +50,37 @@
   readonly random: () => number;
   /** Called when a part is quarantined. */
   readonly handleQuarantine: () => void;
+  /** Whether the endpoint's process is registered, as far as is known. */
+  readonly isRegistered: (endpoint: Endpoint) => boolean;
 }
 
-/** A request whose connection to its endpoint broke. */
-interface Disconnect {
-  readonly process: string;
-  readonly address: string;
-  readonly prompt: Prompt;
-  /** Monotonic time. */
-  readonly ms: number;
-}
+type CrashSource = 'sidecar' | 'registration';
 
 /**
- * Time within which the end of a process must be confirmed. An endpoint is back
- * some seconds after a crash.
+ * Time within which the end of a process is confirmed. An endpoint is back some
+ * seconds after a crash, or its registration has lapsed.
  */
-const DISCONNECT_VALID_MS = 5_000;
+const CONFIRMATION_MS = 5_000;
 
-/**
- * Connections that broke at most this long before the last one broke together
- * with it; earlier ones have another cause.
- */
-const SAME_BREAK_MS = 300;
+/** Interval at which attempts are looked for whose time for that has passed. */
+const CONFIRMATION_CHECK_MS = 1_000;
 
 /**
- * A sidecar looks for its endpoint several times a second, so connections that
- * broke longer ago than this broke before the endpoint ended.
+ * A sidecar looks for its endpoint several times a second, so attempts that ended
+ * longer ago than this ended before the process did.
  */
 const SIDECAR_DELAY_MS = 1_000;
 
-/** Bounds on what is held, and on the size of a record. */
-const MAX_DISCONNECTS = 512;
-const MAX_PROMPTS_PER_CRASH = 24;
+/** Bound on the characters of the prompts in a record; a row takes 64 KiB. */
+const MAX_PROMPT_CHARACTERS = 24_000;
 const MAX_UNWRITTEN = 512;
 
+/** Requests named by a log line. */
+const MAX_LOGGED_REQUESTS = 8;
+
+/** Processes that are remembered as registered, by address, and as ended. */
+const MAX_KNOWN_PROCESSES = 16_384;
+
 /** Parts whose answers this gateway remembers. */
 const MAX_ANSWERED_PARTS = 4_096;
 
@@ -103,8 +104,16 @@
   private quarantine: Quarantine = emptyQuarantine;
   private quarantined: ReadonlyMap<string, QuarantinedPart> = new Map();
   private suspects: ReadonlySet<string> = new Set();
-  private disconnects: readonly Disconnect[] = [];
-  /** Time by the store's clock at which an answer last continued, by part. */
+  private readonly recent = new RecentPrompts();
+  /** The newest process at each address. */
+  private readonly registered = new LRUCache<string, string>({
+    max: MAX_KNOWN_PROCESSES,
+  });
+  /** Monotonic time at which the end of a process was first confirmed. */
+  private readonly endedMs = new LRUCache<string, number>({
+    max: MAX_KNOWN_PROCESSES,
+  });
+  /** Time by the store's clock of the last answer that was outlived, by part. */
   private readonly answeredMs = new LRUCache<string, number>({
     max: MAX_ANSWERED_PARTS,
   });
@@ -112,6 +121,7 @@
   private readonly shared = new Map<string, CrashRecord>();
   /** Records of this gateway that are not in the store yet. */
   private readonly unwritten = new Map<string, CrashRecord>();
+  private checkScheduled = false;
   private shareScheduled = false;
   private updateScheduled = false;
   private writeScheduled = false;
@@ -126,42 +136,84 @@
     return this.quarantined.size;
   }
 
-  /**
-   * Records a connection that broke although its endpoint was registered and
-   * its group not known to have stopped.
-   */
-  recordDisconnect(endpoint: Endpoint, prompt: Prompt): void {
+  /** Records an attempt that has ended at an endpoint which may have run it. */
+  recordEnd(attempt: EndedAttempt): void {
+    const {endpoint, prompt, sentMs, leavingSinceMs} = attempt;
     if (prompt.length === 0) return;
-    const ms = this.deps.clock.elapsedMs();
-    const {address} = endpoint;
     const process = processOf(endpoint);
-    this.disconnects = [
-      ...this.recentDisconnects(),
-      {process, address, prompt, ms},
-    ].slice(-MAX_DISCONNECTS);
+    const endedMs = this.endedAtMs(process);
+    if (sentMs <= endedMs) {
+      const hadLeft = leavingSinceMs !== undefined && leavingSinceMs <= endedMs;
+      if (!hadLeft) this.addCrash(process, [attempt], 'end read late');
+      return;
+    }
+    if (!this.registered.has(endpoint.address))
+      this.registered.set(endpoint.address, process);
+    this.recent.add(attempt);
+    this.scheduleCheck();
   }
 
   /** Called when a sidecar finds no process at its endpoint's address. */
   handleProcessGone(address: string): void {
     const sinceMs = this.deps.clock.elapsedMs() - SIDECAR_DELAY_MS;
-    this.confirmCrash(d => d.address === address && d.ms >= sinceMs, 'sidecar');
+    const processes = new Set(
+      [...this.recent.endpoints()]
+        .filter(([, endpoint]) => endpoint.address === address)
+        .map(([process]) => process),
+    );
+    const newest = this.registered.get(address);
+    if (newest !== undefined) processes.add(newest);
+    for (const process of processes)
+      this.endProcess(process, sinceMs, 'sidecar');
   }
 
   /** Called for each new or renewed registration of an endpoint. */
   handleRegistration(endpoint: Endpoint): void {
-    if (this.disconnects.length === 0) return;
+    const {address, draining} = endpoint;
     const process = processOf(endpoint);
-    this.confirmCrash(
-      d => d.address === endpoint.address && d.process !== process,
-      'registration',
-    );
+    const nowMs = this.deps.clock.elapsedMs();
+    if (draining) this.recent.excuse(process, nowMs);
+    const newest = this.registered.get(address);
+    // The registration of a process that has ended may be read once more.
+    if (newest === process || this.endedMs.has(process)) return;
+    this.registered.set(address, process);
+    if (newest === undefined) return;
+    this.endProcess(newest, nowMs - CONFIRMATION_MS, 'registration');
+  }
+
+  /**
+   * Called with a monotonic time at which an endpoint's process was certainly alive.
+   * Answers that ended before then have not crashed it.
+   */
+  handleSignOfLife(endpoint: Endpoint, aliveMs: number): void {
+    const process = processOf(endpoint);
+    for (const {prompt, ms} of this.recent.takeOutlived(process, aliveMs))
+      this.clear(prompt, ms);
   }
 
-  /** Called when an answer continues after its first event. */
-  recordProgress(prompt: Prompt): void {
-    const atMs = this.storeMs();
+  /** Called for each report of an endpoint's sidecar that has found its process. */
+  handleSidecarReport(endpoint: Endpoint): void {
+    if (this.recent.isEmpty) return;
+    const nowMs = this.deps.clock.elapsedMs();
+    this.handleSignOfLife(endpoint, nowMs - SIDECAR_DELAY_MS);
+  }
+
+  /**
+   * Called when the answer to a request sent at that time goes on although its
+   * endpoint began to write it long before.
+   */
+  recordProgress(endpoint: Endpoint, prompt: Prompt, sentMs: number): void {
+    if (sentMs <= this.endedAtMs(processOf(endpoint))) return;
+    this.clear(prompt, this.deps.clock.elapsedMs());
+  }
+
+  private clear(prompt: Prompt, ms: number): void {
+    const atMs = this.storeMsAt(ms);
     if (atMs === undefined) return;
-    for (const part of prompt) this.answeredMs.set(part, Math.round(atMs));
+    for (const part of prompt) {
+      const knownMs = this.answeredMs.get(part) ?? -Infinity;
+      this.answeredMs.set(part, Math.max(knownMs, Math.round(atMs)));
+    }
     if (prompt.some(part => this.suspects.has(part))) this.shareAnswers(prompt);
   }
 
@@ -207,7 +259,7 @@
     return admission(this.quarantined, prompt, nowMs);
   }
 
-  /** Clears suspect parts on which this gateway has seen an answer continue. */
+  /** Clears suspect parts on which this gateway has seen an answer outlived. */
   private shareAnswers(parts: Iterable<string>): void {
     let cleared = false;
     for (const part of parts) {
@@ -233,41 +285,82 @@
     });
   }
 
-  private confirmCrash(
-    isCandidate: (disconnect: Disconnect) => boolean,
-    source: 'sidecar' | 'registration',
+  /** When the process was found to have ended; monotonic. */
+  private endedAtMs(process: string): number {
+    return this.endedMs.get(process) ?? -Infinity;
+  }
+
+  private endProcess(
+    process: string,
+    sinceMs: number,
+    source: CrashSource,
   ): void {
-    const recent = this.recentDisconnects();
-    const candidates = recent.filter(isCandidate);
-    const last = candidates.at(-1);
-    const storeMs = this.storeMs();
-    if (!last || storeMs === undefined) return;
-    this.disconnects = recent.filter(d => !isCandidate(d));
-    const broken = candidates.filter(
-      d => d.process === last.process && last.ms - d.ms <= SAME_BREAK_MS,
+    const nowMs = this.deps.clock.elapsedMs();
+    // A sidecar repeats itself, and another process registers afterwards.
+    const isConfirmed = nowMs - this.endedAtMs(process) <= CONFIRMATION_MS;
+    if (!isConfirmed) this.endedMs.set(process, nowMs);
+    const attempts = this.recent.takeEnded(process, sinceMs);
+    if (attempts.length > 0) this.addCrash(process, attempts, source);
+  }
+
+  /** Records that attempts ended with a process; the last one comes first. */
+  private addCrash(
+    process: string,
+    attempts: readonly EndedAttempt[],
+    source: CrashSource | 'end read late',
+  ): void {
+    const lastMs = Math.min(
+      attempts[0]!.fromMs,
+      this.endedMs.get(process) ?? Infinity,
     );
-    const key = `crash/${last.process}/${this.deps.instance}`;
+    const atMs = this.storeMsAt(lastMs);
+    if (atMs === undefined) return;
+    const key = `crash/${process}/${this.deps.instance}`;
     const known = this.unwritten.get(key) ?? this.shared.get(key);
-    const earlier = known?.kind === 'crash' ? known.prompts : [];
-    const record: CrashRecord = {
+    // A process without a time of its start may crash again under the same name.
+    const isSame =
+      known?.kind === 'crash' && Math.abs(known.atMs - atMs) <= CONFIRMATION_MS;
+    const earlier = isSame ? known : undefined;
+    const prompts = attempts.map(a => a.prompt);
+    this.addOwn(key, {
       kind: 'crash',
-      endpoint: last.process,
-      atMs: Math.round(storeMs - (this.deps.clock.elapsedMs() - last.ms)),
-      prompts: [...earlier, ...broken.map(d => d.prompt)].slice(
-        -MAX_PROMPTS_PER_CRASH,
-      ),
-    };
-    this.addOwn(key, record);
+      endpoint: process,
+      atMs: earlier?.atMs ?? Math.round(atMs),
+      prompts: distinctPrompts([...prompts, ...(earlier?.prompts ?? [])]),
+    });
     this.deps.log('warn', 'endpoint crashed with requests', {
-      endpoint: last.process,
+      endpoint: process,
       source,
-      agoMs: Math.round(this.deps.clock.elapsedMs() - last.ms),
-      requests: broken.length,
-      parts: [...new Set(broken.flatMap(d => d.prompt))].join(','),
+      agoMs: Math.round(this.deps.clock.elapsedMs() - lastMs),
+      requests: attempts.length,
+      requestIds: attempts
+        .slice(0, MAX_LOGGED_REQUESTS)
+        .map(a => a.requestId)
+        .join(','),
+      parts: [...new Set(prompts.flat())].join(','),
     });
     this.scheduleUpdate();
   }
 
+  /**
+   * An endpoint that is still registered when the end of its process would have been
+   * confirmed lives; nothing is known of one whose registration has gone.
+   */
+  private scheduleCheck(): void {
+    if (this.checkScheduled) return;
+    this.checkScheduled = true;
+    this.deps.clock.after(CONFIRMATION_CHECK_MS, () => {
+      this.checkScheduled = false;
+      const aliveMs = this.deps.clock.elapsedMs() - CONFIRMATION_MS;
+      for (const [process, endpoint] of this.recent.endpoints()) {
+        if (this.deps.isRegistered(endpoint))
+          this.handleSignOfLife(endpoint, aliveMs);
+        else this.recent.takeOutlived(process, aliveMs);
+      }
+      if (!this.recent.isEmpty) this.scheduleCheck();
+    });
+  }
+
   /** Adds a record of this gateway and shares it. */
   private addOwn(key: string, record: CrashRecord): void {
     this.quarantine = addRecord(this.quarantine, key, record);
@@ -277,11 +370,6 @@
     this.scheduleWrite();
   }
 
-  private recentDisconnects(): readonly Disconnect[] {
-    const sinceMs = this.deps.clock.elapsedMs() - DISCONNECT_VALID_MS;
-    return this.disconnects.filter(d => d.ms >= sinceMs);
-  }
-
   private scheduleUpdate(): void {
     if (this.updateScheduled) return;
     this.updateScheduled = true;
@@ -388,11 +476,22 @@
   private storeMs(): number | undefined {
     return this.deps.store.nowMs();
   }
+
+  /** A monotonic time by the store's clock. */
+  private storeMsAt(ms: number): number | undefined {
+    const storeMs = this.storeMs();
+    if (storeMs === undefined) return undefined;
+    return storeMs - (this.deps.clock.elapsedMs() - ms);
+  }
 }
 
-/** An endpoint may keep its id when its process starts anew. */
-function processOf({id, startedMs}: Endpoint): string {
-  return startedMs === undefined ? id : `${id}/${startedMs}`;
+/** Without repeated ones, and without the last ones if they are too large. */
+function distinctPrompts(prompts: readonly Prompt[]): readonly Prompt[] {
+  const distinct = new Map(prompts.map(prompt => [prompt.join(), prompt]));
+  let characters = 0;
+  return [...distinct]
+    .filter(([key]) => (characters += key.length) <= MAX_PROMPT_CHARACTERS)
+    .map(([, prompt]) => prompt);
 }
 
 /** A key of bounded length. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -55,6 +55,7 @@
 import {nextPlacementStep, Unavailable} from './placementstep';
 import {CrashMonitor} from './crashmonitor';
 import {
+  AttemptSpan,
   Dispatcher,
   EndpointEvidence,
   Exchange,
@@ -197,7 +198,6 @@
   works: 'freed',
   rejects: 'full',
   fails: 'unknown',
-  disconnected: 'unknown',
   none: 'unknown',
 };
 
@@ -348,9 +348,10 @@
     this.loads = applyReport(this.loads, report, nowMs);
     const {id, limitPerS} = report;
     if (limitPerS !== undefined) this.setLimit(id, limitPerS, 'sidecar');
-    const service = this.catalog.endpoints.get(id)?.service;
-    if (service !== undefined && report.share) {
-      this.recordRoom(service, {freed: report.share});
+    const endpoint = this.catalog.endpoints.get(id);
+    if (endpoint) this.crashes.handleSidecarReport(endpoint);
+    if (endpoint && report.share) {
+      this.recordRoom(endpoint.service, {freed: report.share});
     }
     // Without a free slot for this gateway the report helps no waiting request.
     if (report.share !== 0) this.serveIfWaiting();
@@ -745,10 +746,9 @@
     }
     if (evidence === 'works' || evidence === 'rejects') {
       this.avoidance = clearFailures(this.avoidance, endpoint);
-    } else if (evidence === 'fails' || evidence === 'disconnected') {
+    } else if (evidence === 'fails') {
       this.avoidance = recordFailure(this.avoidance, endpoint, nowMs);
     }
-    if (evidence === 'disconnected') this.recordDisconnect(exchange, endpoint);
     this.serveIfWaiting();
   }
 
@@ -756,12 +756,38 @@
    * The ranks of a stalled group break their connections too, and an endpoint
    * that leaves may; neither shows that the endpoint crashed.
    */
-  private recordDisconnect(exchange: Exchange, id: string): void {
-    const endpoint = this.catalog.endpoints.get(id);
-    if (!endpoint || endpoint.draining) return;
-    if (endpoint.goneSinceMs !== undefined) return;
-    if (!isGroupOpen(this.loads, id, this.clock.elapsedMs())) return;
-    this.crashes.recordDisconnect(endpoint, promptOf(exchange));
+  reportEnd(
+    exchange: Exchange,
+    endpoint: Endpoint,
+    {sentMs, fromMs, toMs, involvement}: AttemptSpan,
+  ): void {
+    const {id} = endpoint;
+    const found = this.catalog.endpoints.get(id);
+    const isReplaced = found !== undefined && isOtherProcess(found, endpoint);
+    const hasLeft = found === undefined || found.draining;
+    const leavingSinceMs = hasLeft ? -Infinity : found.goneSinceMs;
+    this.crashes.recordEnd({
+      endpoint,
+      prompt: promptOf(exchange),
+      requestId: exchange.incoming.metadata.requestId,
+      sentMs,
+      fromMs,
+      toMs,
+      hasAnswer: involvement === 'answered',
+      leavingSinceMs: isReplaced ? undefined : leavingSinceMs,
+      isStalled: !isGroupOpen(this.loads, id, this.clock.elapsedMs()),
+    });
+  }
+
+  reportAlive(endpoint: Endpoint, sentMs: number): void {
+    this.crashes.handleSignOfLife(endpoint, sentMs);
+  }
+
+  /** Whether the endpoint's process is registered, as far as is known. */
+  isRegistered(endpoint: Endpoint): boolean {
+    const found = this.catalog.endpoints.get(endpoint.id);
+    if (!found || found.goneSinceMs !== undefined) return false;
+    return !isOtherProcess(found, endpoint);
   }
 
   reportRun(
@@ -802,8 +828,8 @@
     return zoneLoads(this.catalog, this.loads, this.clock.elapsedMs());
   }
 
-  reportProgress(exchange: Exchange): void {
-    this.crashes.recordProgress(promptOf(exchange));
+  reportProgress(exchange: Exchange, endpoint: Endpoint, sentMs: number): void {
+    this.crashes.recordProgress(endpoint, promptOf(exchange), sentMs);
   }
 
   /** Rejects requests with quarantined parts that no answer has begun for. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,7 +13,14 @@
 import {Clock, Timer} from '../kernel/clock';
 import {InputPace} from '../kernel/inputpace';
 import {AnswerPieces} from './answerpieces';
-import {AttemptEnd, ConnectionEnd, framingOf} from './attemptend';
+import {
+  AnswerKind,
+  AttemptEnd,
+  ConnectionEnd,
+  framingOf,
+  Involvement,
+  involvement,
+} from './attemptend';
 import {
   AttemptOutcome,
   AttemptState,
@@ -26,7 +33,8 @@
 import {EventSplitter} from './eventsplitter';
 import {LARGEST_ANSWER_BYTES, UNRESERVED_ANSWER_BYTES} from './callermemory';
 import {AnswerAccount, AnswerReservation} from './memoryaccounts';
-import {Account, Route} from './model';
+import {Account, Endpoint, Route} from './model';
+import {ReadingTimes} from './readingtimes';
 import {recordEvents, StreamTiming} from './streamtiming';
 import {AnswerMetadata, HeaderCodec, RequestMetadata} from './headercodec';
 import {AnswerHead, Attempt, isAnswerTo, startAttempt} from './upstream';
@@ -46,8 +54,12 @@
    * if the request counts as run now; it is not called again then.
    */
   reportRun(exchange: Exchange, run: RunEvidence): boolean;
-  /** Called when an answer continues after its first event, or is complete. */
-  reportProgress(exchange: Exchange): void;
+  /** Called when a stream goes on that the endpoint began to write long before. */
+  reportProgress(exchange: Exchange, endpoint: Endpoint, sentMs: number): void;
+  /** Called when the endpoint has answered a request that was sent at that time. */
+  reportAlive(endpoint: Endpoint, sentMs: number): void;
+  /** Called when an attempt has ended at an endpoint that may have run it. */
+  reportEnd(exchange: Exchange, endpoint: Endpoint, span: AttemptSpan): void;
   /** Called when another process has the endpoint's address. */
   reportMisdirected(endpoint: string): void;
   /** Called when an endpoint has answered, with the limit that it names. */
@@ -63,6 +75,15 @@
   finishExchange(exchange: Exchange, result: ExchangeResult): void;
 }
 
+/** When an attempt was sent and has ended; monotonic times. */
+export interface AttemptSpan {
+  readonly sentMs: number;
+  /** Earliest and latest time of the end. */
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly involvement: Exclude<Involvement, 'none'>;
+}
+
 /** When a request was sent to the endpoint that ran it, and what showed that. */
 export interface RunEvidence {
   /** Monotonic times. */
@@ -80,8 +101,6 @@
   /** It answers, but has not taken the request. */
   | 'rejects'
   | 'fails'
-  /** It fails: the connection ended before the answer was complete. */
-  | 'disconnected'
   /** It ended too early to show anything. */
   | 'none';
 
@@ -145,6 +164,12 @@
  */
 const ATTEMPT_TIMEOUT_SHARE = 0.4;
 
+/**
+ * A part that crashes endpoints does so when one begins to write an answer on it, so
+ * a stream that goes on this long after its first event has no such part.
+ */
+const PROGRESS_MS = 1_000;
+
 /** Time kept for the return of the answer from the endpoint, in ms. */
 const RETURN_MARGIN_MS = 5;
 
@@ -182,6 +207,9 @@
   private events = 0;
   /** How the connection of the current attempt has ended, unless it was stopped. */
   private connectionEnd: ConnectionEnd = 'stopped';
+  /** Of the current attempt: its first event, or a later one that was reported. */
+  private progressMs = Infinity;
+  private reading: ReadingTimes;
   private timing: StreamTiming | undefined;
   /** Whether a run of the request was reported. */
   private hasRun = false;
@@ -203,6 +231,7 @@
     );
     this.splitter = new EventSplitter(metadata.lastEventId);
     this.pieces = new AnswerPieces(deps.clock);
+    this.reading = new ReadingTimes(deps.clock);
     const leftMs = Math.max(0, this.deadlineMs - deps.clock.elapsedMs());
     this.timers.push(deps.clock.after(leftMs, () => this.handleDeadline()));
     res.on('close', () => {
@@ -210,7 +239,7 @@
       this.releaseAnswer();
     });
     res.on('drain', () => {
-      if (this.reservation?.isGranted ?? true) this.attempt?.resume();
+      if (this.reservation?.isGranted ?? true) this.resumeReading();
     });
   }
 
@@ -242,6 +271,8 @@
     this.releaseAnswer();
     this.events = 0;
     this.connectionEnd = 'stopped';
+    this.progressMs = Infinity;
+    this.reading = new ReadingTimes(clock);
     const isResumption = this.incoming.res.headersSent;
     this.splitter = new EventSplitter(this.splitter.lastEventId, isResumption);
     this.pieces = new AnswerPieces(clock);
@@ -269,8 +300,7 @@
         },
         broken: (sent, reason) => {
           this.connectionEnd = sent ? 'lost' : 'unopened';
-          if (!sent) return this.handleAttemptEnd('unsent', reason);
-          this.handleAttemptEnd('broken', reason, 'disconnected');
+          this.handleAttemptEnd(sent ? 'broken' : 'unsent', reason);
         },
       },
       this.deps.pace,
@@ -346,6 +376,7 @@
     this.answer = answer;
     const {leaving, pauseMs, misdirected} = answer;
     if (this.endpoint && !misdirected) {
+      this.dispatcher.reportAlive(this.endpoint, this.startedMs);
       if (pauseMs !== undefined)
         this.dispatcher.reportPause(this.endpoint, pauseMs);
       if (leaving) this.dispatcher.reportLeaving(this.endpoint);
@@ -403,9 +434,9 @@
     const declared = Number(this.head?.headers['content-length'] ?? Infinity);
     this.reservation = this.deps.answers.reserve(
       Math.max(this.body.length, Math.min(declared, LARGEST_ANSWER_BYTES)),
-      () => this.attempt?.resume(),
+      () => this.resumeReading(),
     );
-    if (!this.reservation.isGranted) this.attempt?.pause();
+    if (!this.reservation.isGranted) this.pauseReading();
   }
 
   private releaseAnswer(): void {
@@ -417,7 +448,7 @@
   private passOn(bytes: Buffer, events: number): void {
     this.events += events;
     if (events > 0) this.reportRun(true);
-    if (this.events > 1) this.dispatcher.reportProgress(this);
+    this.reportProgress();
     const {res, arrivedMs} = this.incoming;
     const sinceArrivalMs = this.deps.clock.elapsedMs() - arrivedMs;
     this.timing = recordEvents(this.timing, sinceArrivalMs);
@@ -437,7 +468,26 @@
     this.unwritten = undefined;
     if (!first || res.destroyed) return;
     const events = further.length > 0 ? Buffer.concat([first, further]) : first;
-    if (!res.write(events)) this.attempt?.pause();
+    if (!res.write(events)) this.pauseReading();
+  }
+
+  private pauseReading(): void {
+    this.reading.pause();
+    this.attempt?.pause();
+  }
+
+  private resumeReading(): void {
+    this.reading.resume();
+    this.attempt?.resume();
+  }
+
+  private reportProgress(): void {
+    if (!this.endpoint || !this.splitter.hasEvent) return;
+    const nowMs = this.deps.clock.elapsedMs();
+    if (this.progressMs === Infinity) this.progressMs = nowMs;
+    if (this.reading.arrivedSinceMs() - this.progressMs < PROGRESS_MS) return;
+    this.progressMs = nowMs;
+    this.dispatcher.reportProgress(this, this.endpoint, this.startedMs);
   }
 
   /** Whether the answer is passed on as it arrives. */
@@ -465,11 +515,7 @@
     if (!isSuccess(head.status)) return this.handleFailureAnswer(head, answer);
     if (!answer.signed) return this.handleAttemptEnd('broken', 'not signed');
     if (this.splitter.hasPartialEvent) {
-      return this.handleAttemptEnd(
-        'broken',
-        'ended within an event',
-        'disconnected',
-      );
+      return this.handleAttemptEnd('broken', 'ended within an event');
     }
     if (this.isStream && !this.splitter.hasEvent && this.beginsStream()) {
       return this.handleAttemptEnd('broken', 'stream without an event');
@@ -477,7 +523,6 @@
     if (this.splitter.lacksNewEvent) {
       return this.handleAttemptEnd('broken', 'resumed without a new event');
     }
-    if (!this.isStream) this.dispatcher.reportProgress(this);
     this.endAttempt('answered', 'works');
     if (this.isStream) {
       if (!this.incoming.res.headersSent) this.writeAnswerHead();
@@ -550,23 +595,28 @@
     evidence: EndpointEvidence,
     reason?: string,
   ): void {
-    const {endpoint, estimate} = this;
+    const {endpoint, estimate, startedMs: sentMs} = this;
     const end = this.attemptEnd();
+    const fromMs = this.reading.arrivedSinceMs();
+    const toMs = this.deps.clock.elapsedMs();
     this.endpoint = undefined;
     this.attempt = undefined;
     this.attemptTimer?.cancel();
     if (!endpoint) return;
-    const ms = Math.round(this.deps.clock.elapsedMs() - this.startedMs);
     this.tries.push({
       endpoint: endpoint.id,
       outcome,
-      ms,
+      ms: Math.round(toMs - sentMs),
       reason,
       end,
       evidence,
       estimate,
     });
     this.dispatcher.releaseEndpoint(this, endpoint.id, evidence);
+    const involved = involvement(end);
+    if (involved === 'none') return;
+    const span = {sentMs, fromMs, toMs, involvement: involved};
+    this.dispatcher.reportEnd(this, endpoint, span);
   }
 
   private attemptEnd(): AttemptEnd {
@@ -577,9 +627,21 @@
       events,
       hasPartialEvent: isWithin,
       connection: connectionEnd,
+      answer: this.answerKind(),
+      hasContent: isStream
+        ? events > 0 && splitter.hasEvent
+        : connectionEnd === 'complete',
     };
   }
 
+  private answerKind(): AnswerKind {
+    const {head, answer} = this;
+    if (!head || !answer) return 'none';
+    if (answer.notRun) return 'rejection';
+    if (!isSuccess(head.status)) return 'failure';
+    return answer.signed ? 'success' : 'unsigned';
+  }
+
   private handleDeadline(): void {
     if (this.over) return;
     const running =
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -136,10 +136,10 @@
       /** Id of the endpoint's process. */
       readonly endpoint: string;
       readonly atMs: number;
-      /** Prompts of the requests that were there. */
+      /** Prompts of the requests that were there or ended shortly before. */
       readonly prompts: readonly Prompt[];
     }
-  /** An answer on the part continued after its first event. */
+  /** An endpoint outlived its answer on the part, which ended then. */
   | {readonly kind: 'cleared'; readonly part: string; readonly atMs: number}
   /** One request with the quarantined part was admitted. */
   | {readonly kind: 'trial'; readonly part: string; readonly atMs: number};
--- a/src/wiring-platform.ts
+++ b/src/wiring-platform.ts
@@ -149,6 +149,7 @@
     log,
     random: Math.random,
     handleQuarantine: () => dispatcher.handleQuarantine(),
+    isRegistered: endpoint => dispatcher.isRegistered(endpoint),
   });
   const dispatcher: RequestDispatcher = new RequestDispatcher(
     {
--- a/test/attemptend.test.ts
+++ b/test/attemptend.test.ts
@@ -5,7 +5,29 @@
  * says itself whether it is complete.
  */
 import {expect} from 'chai';
-import {describeEnd, framingOf} from '../src/gateway/attemptend';
+import {
+  AttemptEnd,
+  describeEnd,
+  framingOf,
+  involvement,
+} from '../src/gateway/attemptend';
+
+const COMPLETE: AttemptEnd = {
+  framing: 'chunks',
+  events: 2,
+  hasPartialEvent: false,
+  connection: 'complete',
+  answer: 'success',
+  hasContent: true,
+};
+const UNOPENED: AttemptEnd = {
+  framing: undefined,
+  events: 0,
+  hasPartialEvent: false,
+  connection: 'unopened',
+  answer: 'none',
+  hasContent: false,
+};
 
 describe('framing of an answer', () => {
   const framing = (
@@ -25,15 +47,35 @@
   });
 
   it('is logged with what had arrived and how the connection ended', () => {
-    const ended = {events: 2, hasPartialEvent: true} as const;
-    const lost = {...ended, framing: 'chunks', connection: 'lost'} as const;
-    expect(describeEnd(lost)).to.equal('chunks:2+:lost');
-    const unopened = {
-      framing: undefined,
-      events: 0,
-      hasPartialEvent: false,
-      connection: 'unopened',
+    const lost = {
+      ...COMPLETE,
+      hasPartialEvent: true,
+      connection: 'lost',
     } as const;
-    expect(describeEnd(unopened)).to.equal('none:0:unopened');
+    expect(describeEnd(lost)).to.equal('chunks:2+:lost');
+    expect(describeEnd(UNOPENED)).to.equal('none:0:unopened');
+  });
+});
+
+describe('a request at an endpoint whose process may have ended', () => {
+  it('was answered by content only, however the answer is framed and ends', () => {
+    for (const framing of ['length', 'chunks', 'connection'] as const) {
+      for (const connection of ['complete', 'lost', 'stopped'] as const) {
+        const end = {...COMPLETE, framing, connection};
+        expect(involvement(end)).to.equal('answered');
+        const headOnly = {...end, hasContent: false};
+        expect(involvement(headOnly)).to.equal('present');
+      }
+    }
+  });
+
+  it('was there without an answer that counts', () => {
+    for (const answer of ['none', 'failure', 'unsigned'] as const)
+      expect(involvement({...COMPLETE, answer})).to.equal('present');
+  });
+
+  it('was not there if it was rejected or not sent', () => {
+    expect(involvement(UNOPENED)).to.equal('none');
+    expect(involvement({...COMPLETE, answer: 'rejection'})).to.equal('none');
   });
 });
--- a/test/crashmonitor.test.ts
+++ b/test/crashmonitor.test.ts
@@ -7,7 +7,8 @@
 import {expect} from 'chai';
 import {VirtualClock} from '../bench/support/virtualclock';
 import {CrashMonitor} from '../src/gateway/crashmonitor';
-import {CrashRecord, Endpoint} from '../src/gateway/model';
+import {CrashRecord, Endpoint, Prompt} from '../src/gateway/model';
+import {EndedAttempt} from '../src/gateway/recentprompts';
 
 const QUARANTINE_MS = 600_000;
 
@@ -16,6 +17,8 @@
   readonly clock = new VirtualClock();
   readonly records = new Map<string, CrashRecord>();
   isDown = false;
+  /** Ids of endpoints whose registrations have gone. */
+  readonly gone = new Set<string>();
   private readonly monitors: CrashMonitor[] = [];
 
   addGateway(): CrashMonitor {
@@ -47,6 +50,7 @@
       log: () => undefined,
       random: () => 0.5,
       handleQuarantine: () => undefined,
+      isRegistered: ({id}) => !this.gone.has(id),
     });
     this.monitors.push(monitor);
     monitor.handleRecords(this.records, true);
@@ -58,6 +62,34 @@
     return this.clock.run(this.clock.elapsedMs() + ms);
   }
 
+  /** An attempt that was lost just now, 50 ms after it was sent. */
+  lost(
+    endpoint: Endpoint,
+    prompt: Prompt,
+    differing: Partial<EndedAttempt> = {},
+  ): EndedAttempt {
+    const nowMs = this.clock.elapsedMs();
+    return {
+      endpoint,
+      prompt,
+      requestId: 'r',
+      sentMs: nowMs - 50,
+      fromMs: nowMs,
+      toMs: nowMs,
+      hasAnswer: false,
+      leavingSinceMs: undefined,
+      isStalled: false,
+      ...differing,
+    };
+  }
+
+  /** Prompts of all crashes. */
+  prompts(): readonly Prompt[] {
+    return [...this.records.values()].flatMap(record =>
+      record.kind === 'crash' ? record.prompts : [],
+    );
+  }
+
   private publish(): void {
     for (const monitor of this.monitors) {
       monitor.handleRecords(new Map(this.records), true);
@@ -83,9 +115,10 @@
   crashes: SharedCrashes,
   monitor: CrashMonitor,
   prompt: readonly string[],
+  differing: Partial<EndedAttempt> = {},
 ): Promise<void> {
   for (const id of ['e1', 'e2', 'e3']) {
-    monitor.recordDisconnect(endpoint(id), prompt);
+    monitor.recordEnd(crashes.lost(endpoint(id), prompt, differing));
     monitor.handleProcessGone(endpoint(id).address);
     await crashes.wait(4_000);
   }
@@ -109,7 +142,7 @@
   it('counts when each gateway saw one', async () => {
     const gateways = [1, 2, 3].map(() => crashes.addGateway());
     for (const [i, gateway] of gateways.entries()) {
-      gateway.recordDisconnect(endpoint(`e${i}`), [`a${i}`, 'fatal']);
+      gateway.recordEnd(crashes.lost(endpoint(`e${i}`), [`a${i}`, 'fatal']));
       gateway.handleProcessGone(endpoint('').address);
       await crashes.wait(4_000);
     }
@@ -135,7 +168,7 @@
     const monitor = crashes.addGateway();
     for (let i = 0; i < 8; i++) {
       const stalled = endpoint(`e${i}`, i, 8_000 + i);
-      monitor.recordDisconnect(stalled, ['a']);
+      monitor.recordEnd(crashes.lost(stalled, ['a']));
       monitor.handleRegistration(stalled);
       await crashes.wait(1_000);
     }
@@ -147,7 +180,7 @@
     const monitor = crashes.addGateway();
     for (let i = 0; i < 3; i++) {
       // The endpoint keeps its id.
-      monitor.recordDisconnect(endpoint('e', i), ['fatal']);
+      monitor.recordEnd(crashes.lost(endpoint('e', i), ['fatal']));
       await crashes.wait(3_500);
       monitor.handleRegistration(endpoint('e', i + 1));
     }
@@ -158,22 +191,19 @@
   it('does not count requests whose connections broke long before', async () => {
     const monitor = crashes.addGateway();
     for (const id of ['e1', 'e2', 'e3']) {
-      monitor.recordDisconnect(endpoint(id), ['a']);
+      monitor.recordEnd(crashes.lost(endpoint(id), ['a']));
       await crashes.wait(1_500);
-      monitor.recordDisconnect(endpoint(id), ['fatal']);
+      monitor.recordEnd(crashes.lost(endpoint(id), ['fatal']));
       monitor.handleProcessGone(endpoint(id).address);
       await crashes.wait(3_000);
     }
-    const prompts = [...crashes.records.values()].flatMap(record =>
-      record.kind === 'crash' ? record.prompts : [],
-    );
-    expect(prompts).to.deep.equal([['fatal'], ['fatal'], ['fatal']]);
+    expect(crashes.prompts()).to.deep.equal([['fatal'], ['fatal'], ['fatal']]);
   });
 
   it('does not count against parts that any gateway has seen answered', async () => {
     const seeing = crashes.addGateway();
     const other = crashes.addGateway();
-    other.recordProgress(['a']);
+    other.recordProgress(endpoint('e9'), ['a'], 0);
     await crashes.wait(1_000);
     await crashThrice(crashes, seeing, ['a']);
     expect(seeing.rejectedPart(['a'])).to.equal(undefined);
@@ -182,9 +212,9 @@
   it('leaves a bounded number of records in the store', async () => {
     const monitor = crashes.addGateway();
     for (let i = 0; i < 600; i++) {
-      monitor.recordDisconnect(endpoint(`e${i}`), [`a${i}`]);
+      monitor.recordEnd(crashes.lost(endpoint(`e${i}`), [`a${i}`]));
       monitor.handleProcessGone(endpoint('').address);
-      monitor.recordProgress([`a${i - 1}`]);
+      monitor.recordProgress(endpoint('e'), [`a${i - 1}`], 0);
       await crashes.wait(500);
     }
     expect(crashes.records.size).to.be.within(256, 600);
@@ -203,10 +233,154 @@
     }
     expect(admitted).to.equal(1);
     // The answer of the trial goes on, so the quarantine ends everywhere.
-    gateways[3]!.recordProgress(['b', 'fatal']);
+    const sentMs = crashes.clock.elapsedMs();
+    gateways[3]!.recordProgress(endpoint('e9'), ['b', 'fatal'], sentMs);
     await crashes.wait(1_000);
     for (const gateway of gateways) {
       expect(gateway.rejectedPart(['fatal'])).to.equal(undefined);
     }
   });
+
+  it('is seen when its answers looked complete', async () => {
+    // As one without a length does, or one that was the last that a process wrote.
+    const monitor = crashes.addGateway();
+    await crashThrice(crashes, monitor, ['fatal'], {hasAnswer: true});
+    expect(monitor.rejectedPart(['b', 'fatal'])).to.equal('fatal');
+  });
+
+  it('is not cleared by the answers that end with it', async () => {
+    // Guards against a part that goes on because each crash clears the ones before.
+    const monitor = crashes.addGateway();
+    for (const id of ['e1', 'e2', 'e3', 'e4']) {
+      monitor.recordEnd(
+        crashes.lost(endpoint(id), ['fatal'], {hasAnswer: true}),
+      );
+      monitor.recordProgress(endpoint('e0'), ['a'], crashes.clock.elapsedMs());
+      await crashes.wait(100);
+      monitor.handleSidecarReport(endpoint(id));
+      monitor.handleProcessGone(endpoint(id).address);
+      await crashes.wait(4_000);
+    }
+    expect(monitor.rejectedPart(['a', 'fatal'])).to.equal('fatal');
+    expect(monitor.rejectedPart(['a'])).to.equal(undefined);
+  });
+
+  /** What shows that an endpoint has outlived an answer, and how much later. */
+  const SIGNS: Readonly<
+    Record<string, readonly [number, (monitor: CrashMonitor) => void]>
+  > = {
+    'a later answer': [
+      200,
+      monitor =>
+        monitor.handleSignOfLife(endpoint('e'), crashes.clock.elapsedMs()),
+    ],
+    "a later report of the endpoint's sidecar": [
+      1_100,
+      monitor => monitor.handleSidecarReport(endpoint('e')),
+    ],
+    'a registration that remains': [6_100, () => undefined],
+  };
+  for (const [sign, [afterMs, show]] of Object.entries(SIGNS)) {
+    it(`does not count against an answer before ${sign}, which clears its parts`, async () => {
+      const monitor = crashes.addGateway();
+      await crashThrice(crashes, monitor, ['a']);
+      expect(monitor.rejectedPart(['a'])).to.equal('a');
+      const other = endpoint('e', 1, 81);
+      const answer = crashes.lost(endpoint('e', undefined, 82), ['a'], {
+        hasAnswer: true,
+      });
+      monitor.recordEnd(answer);
+      await crashes.wait(afterMs);
+      show(monitor);
+      await crashes.wait(100);
+      expect(monitor.rejectedPart(['a'])).to.equal(undefined);
+      // The process ends later, which is nothing to the answer.
+      crashes.records.clear();
+      monitor.recordEnd(crashes.lost(other, ['b']));
+      monitor.handleProcessGone(answer.endpoint.address);
+      await crashes.wait(100);
+      expect(crashes.prompts()).to.be.empty;
+    });
+  }
+
+  it('is not taken for life when its registration has gone', async () => {
+    const monitor = crashes.addGateway();
+    await crashThrice(crashes, monitor, ['fatal']);
+    const silent = endpoint('silent', undefined, 81);
+    monitor.recordEnd(crashes.lost(silent, ['fatal'], {hasAnswer: true}));
+    crashes.gone.add('silent');
+    await crashes.wait(8_000);
+    expect(monitor.rejectedPart(['fatal'])).to.equal('fatal');
+  });
+
+  it('counts when an attempt is seen to end only after it was confirmed', async () => {
+    // As when its caller reads slowly, or the sidecar is quicker.
+    const monitor = crashes.addGateway();
+    for (const [i, id] of ['e1', 'e2', 'e3'].entries()) {
+      const crashed = endpoint(id, undefined, 81 + i);
+      const sentMs = crashes.clock.elapsedMs();
+      monitor.handleRegistration(crashed);
+      monitor.handleProcessGone(crashed.address);
+      await crashes.wait(4_000);
+      const lapsed = {sentMs, leavingSinceMs: sentMs + 3_500, isStalled: true};
+      monitor.recordEnd(crashes.lost(crashed, ['fatal'], lapsed));
+      await crashes.wait(100);
+    }
+    expect(monitor.rejectedPart(['fatal'])).to.equal('fatal');
+  });
+
+  it('counts with an attempt that was not read when others ended', async () => {
+    const monitor = crashes.addGateway();
+    const crashed = endpoint('e', 1);
+    const atMs = crashes.clock.elapsedMs();
+    monitor.recordEnd(crashes.lost(crashed, ['fatal']));
+    await crashes.wait(2_000);
+    monitor.recordEnd(crashes.lost(crashed, ['a'], {fromMs: atMs - 500}));
+    monitor.handleRegistration(endpoint('e', 2));
+    await crashes.wait(100);
+    expect(crashes.prompts()).to.have.deep.members([['fatal'], ['a']]);
+  });
+
+  it('is not seen when an endpoint leaves or its group has stopped', async () => {
+    const monitor = crashes.addGateway();
+    for (let i = 0; i < 5; i++) {
+      const nowMs = crashes.clock.elapsedMs();
+      const left = endpoint(`left${i}`, i);
+      monitor.recordEnd(crashes.lost(left, ['a'], {leavingSinceMs: nowMs}));
+      const stalled = endpoint(`stalled${i}`, i, 81);
+      monitor.recordEnd(crashes.lost(stalled, ['b'], {isStalled: true}));
+      // It says so only after the attempt has ended.
+      const leaving = endpoint(`leaving${i}`, i, 82);
+      monitor.recordEnd(crashes.lost(leaving, ['c']));
+      monitor.handleRegistration({...leaving, draining: true});
+      for (const {address} of [left, stalled, leaving])
+        monitor.handleProcessGone(address);
+      await crashes.wait(1_000);
+    }
+    expect(crashes.prompts()).to.be.empty;
+  });
+
+  it('is not seen when the old registration is read once more', async () => {
+    const monitor = crashes.addGateway();
+    monitor.handleRegistration(endpoint('e', 1));
+    monitor.handleRegistration(endpoint('e', 2));
+    monitor.recordEnd(crashes.lost(endpoint('e', 2), ['a']));
+    monitor.handleRegistration(endpoint('e', 1));
+    monitor.handleRegistration(endpoint('e', 2));
+    await crashes.wait(100);
+    expect(crashes.prompts()).to.be.empty;
+  });
+
+  it('is related to its prompt behind a flood of other answers', async () => {
+    const monitor = crashes.addGateway();
+    const prompts = Array.from({length: 200}, (_, i) => [`a${i}`]);
+    for (const prompt of prompts)
+      monitor.recordEnd(crashes.lost(endpoint('e'), prompt));
+    monitor.recordEnd(crashes.lost(endpoint('e'), ['fatal']));
+    for (let i = 0; i < 1_500; i++)
+      monitor.recordEnd(crashes.lost(endpoint(`f${i}`, i, 81), [`b${i}`]));
+    monitor.handleProcessGone(endpoint('e').address);
+    await crashes.wait(100);
+    expect(crashes.prompts()).to.deep.include(['fatal']);
+  });
 });
--- a/test/deploymentmodel.ts
+++ b/test/deploymentmodel.ts
@@ -71,6 +71,7 @@
       log: () => undefined,
       random,
       handleQuarantine: () => undefined,
+      isRegistered: () => true,
     }),
     () => undefined,
     gateway.onRun,
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -310,6 +310,7 @@
     log: () => undefined,
     random: () => 0.5,
     handleQuarantine: () => undefined,
+    isRegistered: () => true,
   });
   readonly dispatcher = new RequestDispatcher(
     {zone: 'z', retryRatio: 0.2, retryWindowMs: 10_000},
--- a/test/passmodel.ts
+++ b/test/passmodel.ts
@@ -64,6 +64,8 @@
     events: 1,
     hasPartialEvent: false,
     connection: 'complete' as const,
+    answer: 'success' as const,
+    hasContent: true,
   },
   evidence: 'works' as const,
   estimate: {requests: 0, reportAgeMs: undefined},
