Attempts that are stopped: when their endpoint may have ended

An attempt that hangs at a crashed endpoint until its time limit, or until its caller leaves, was dated by that moment. As the last end at the process it pushed out the attempts cut by the crash itself, and a request whose caller left just before a crash could count as outlived while the endpoint still worked on it.

The end of a stopped attempt now lies between the last arrival and half a second after the stop, the time within which an endpoint notices.

--- a/src/gateway/attemptend.ts
+++ b/src/gateway/attemptend.ts
@@ -9,7 +9,7 @@
  */
 import type {AnswerHead} from './upstream';
 
-/** What marks the end of an answer's body. */
+/** What marks the end of an answer's body; `connection` if nothing else does. */
 export type Framing = 'length' | 'chunks' | 'connection';
 
 export type ConnectionEnd =
@@ -64,6 +64,10 @@
     : 'connection';
 }
 
+/**
+ * The parts of a prompt can only be cleared by an answer on it, but any request that
+ * may have run can have crashed its endpoint.
+ */
 export function involvement({
   connection,
   answer,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -78,7 +78,7 @@
 /** When an attempt was sent and has ended; monotonic times. */
 export interface AttemptSpan {
   readonly sentMs: number;
-  /** Earliest and latest time of the end. */
+  /** Earliest and latest time at which the endpoint may have ended it. */
   readonly fromMs: number;
   readonly toMs: number;
   readonly involvement: Exclude<Involvement, 'none'>;
@@ -170,6 +170,9 @@
  */
 const PROGRESS_MS = 1_000;
 
+/** Time for which an endpoint may go on with a request after its attempt was stopped. */
+const STOP_DELAY_MS = 500;
+
 /** Time kept for the return of the answer from the endpoint, in ms. */
 const RETURN_MARGIN_MS = 5;
 
@@ -374,6 +377,7 @@
     }
     this.head = head;
     this.answer = answer;
+    this.reading.recordArrival();
     const {leaving, pauseMs, misdirected} = answer;
     if (this.endpoint && !misdirected) {
       this.dispatcher.reportAlive(this.endpoint, this.startedMs);
@@ -398,6 +402,7 @@
   }
 
   private handleData(chunk: Buffer): void {
+    this.reading.recordArrival();
     const relays = this.relaysAnswer();
     const held = relays ? this.splitter.partialBytes : this.body.length;
     if (held + chunk.length > LARGEST_ANSWER_BYTES) {
@@ -481,6 +486,7 @@
     this.attempt?.resume();
   }
 
+  /** Tells that the stream goes on, at most once in `PROGRESS_MS`. */
   private reportProgress(): void {
     if (!this.endpoint || !this.splitter.hasEvent) return;
     const nowMs = this.deps.clock.elapsedMs();
@@ -597,8 +603,12 @@
   ): void {
     const {endpoint, estimate, startedMs: sentMs} = this;
     const end = this.attemptEnd();
-    const fromMs = this.reading.arrivedSinceMs();
-    const toMs = this.deps.clock.elapsedMs();
+    const nowMs = this.deps.clock.elapsedMs();
+    const isStopped = end.connection === 'stopped';
+    const fromMs = isStopped
+      ? this.reading.lastArrivalMs()
+      : this.reading.arrivedSinceMs();
+    const toMs = isStopped ? nowMs + STOP_DELAY_MS : nowMs;
     this.endpoint = undefined;
     this.attempt = undefined;
     this.attemptTimer?.cancel();
@@ -606,7 +616,7 @@
     this.tries.push({
       endpoint: endpoint.id,
       outcome,
-      ms: Math.round(toMs - sentMs),
+      ms: Math.round(nowMs - sentMs),
       reason,
       end,
       evidence,
--- a/src/gateway/readingtimes.ts
+++ b/src/gateway/readingtimes.ts
@@ -1,6 +1,7 @@
 /**
  * When a connection was read. What arrives while its reading is paused is seen only
- * later, and so is its end.
+ * later, and so is its end. A connection that is closed here may have had no endpoint
+ * behind it since something last arrived.
  */
 import {Clock} from '../kernel/clock';
 
@@ -9,10 +10,22 @@
 
 export class ReadingTimes {
   private pausedMs = -Infinity;
+  private lastMs: number;
   /** Infinite while reading is paused. */
   private resumedMs = -Infinity;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock) {
+    this.lastMs = clock.elapsedMs();
+  }
+
+  recordArrival(): void {
+    this.lastMs = this.clock.elapsedMs();
+  }
+
+  /** When something arrived last or, before that, when the attempt began. */
+  lastArrivalMs(): number {
+    return this.lastMs;
+  }
 
   pause(): void {
     if (this.isUpToDate()) this.pausedMs = this.clock.elapsedMs();
--- a/src/gateway/recentprompts.ts
+++ b/src/gateway/recentprompts.ts
@@ -18,8 +18,8 @@
   /** Monotonic times. */
   readonly sentMs: number;
   /**
-   * When the attempt may have ended: at one moment, unless the connection wasn't
-   * read for a while before.
+   * When the endpoint may have ended the attempt: at one moment, unless the connection
+   * wasn't read for a while before, or was closed by this process.
    */
   readonly fromMs: number;
   readonly toMs: number;
@@ -131,11 +131,13 @@
     return new Map([...this.processes].map(([id, p]) => [id, p.endpoint]));
   }
 
-  /** A process that leaves may end at any moment without having crashed. */
+  /** The process leaves, so it may end at any moment without having crashed. */
   excuse(process: string, leavingSinceMs: number): void {
-    const prompts = this.processes.get(process)?.prompts;
-    for (const [key, {last, answeredMs}] of prompts ?? []) {
-      prompts!.set(key, {last: {...last, leavingSinceMs}, answeredMs});
+    const found = this.processes.get(process);
+    if (!found) return;
+    for (const [key, {last, answeredMs}] of found.prompts) {
+      const leaving = {...last, leavingSinceMs};
+      found.prompts.set(key, {last: leaving, answeredMs});
     }
   }
 }
--- a/test/crashmonitor.test.ts
+++ b/test/crashmonitor.test.ts
@@ -341,6 +341,20 @@
     expect(crashes.prompts()).to.have.deep.members([['fatal'], ['a']]);
   });
 
+  it('counts with an attempt that was stopped long after the others ended', async () => {
+    // Guards against an attempt that hangs and pushes out those cut by the crash.
+    const monitor = crashes.addGateway();
+    const crashed = endpoint('e', 1);
+    const atMs = crashes.clock.elapsedMs();
+    monitor.recordEnd(crashes.lost(crashed, ['fatal']));
+    await crashes.wait(2_000);
+    const hung = {fromMs: atMs - 20, toMs: crashes.clock.elapsedMs() + 500};
+    monitor.recordEnd(crashes.lost(crashed, ['a'], hung));
+    monitor.handleRegistration(endpoint('e', 2));
+    await crashes.wait(100);
+    expect(crashes.prompts()).to.have.deep.members([['fatal'], ['a']]);
+  });
+
   it('is not seen when an endpoint leaves or its group has stopped', async () => {
     const monitor = crashes.addGateway();
     for (let i = 0; i < 5; i++) {
--- a/test/readingtimes.test.ts
+++ b/test/readingtimes.test.ts
@@ -34,4 +34,15 @@
     await wait(300);
     expect(reading.arrivedSinceMs()).to.equal(clock.elapsedMs());
   });
+
+  it('is that of the last arrival if the connection is closed here', async () => {
+    // An attempt that hangs ends with its time limit, long after a crash.
+    const reading = new ReadingTimes(clock);
+    const beganMs = clock.elapsedMs();
+    await wait(1_000);
+    expect(reading.lastArrivalMs()).to.equal(beganMs);
+    reading.recordArrival();
+    await wait(1_000);
+    expect(reading.lastArrivalMs()).to.equal(beganMs + 1_000);
+  });
 });
