Quarantine: crashes count apart for a sound part only if they were apart

Since requests that only ended shortly before a crash are recorded, the last answer at each endpoint dates its crash. When a service loses all endpoints at once, these ends lie up to a second and a half apart, and the crashes counted as several: a popular sound part could be rejected although nothing crashed under it.

A record now says also until when the endpoint may have crashed: when it cut an attempt, or else when the end of its process was confirmed. For parts that were cleared before, crashes count that can't have happened together.

--- a/src/gateway/crashmonitor.ts
+++ b/src/gateway/crashmonitor.ts
@@ -309,12 +309,14 @@
     attempts: readonly EndedAttempt[],
     source: CrashSource | 'end read late',
   ): void {
-    const lastMs = Math.min(
-      attempts[0]!.fromMs,
-      this.endedMs.get(process) ?? Infinity,
-    );
+    const confirmedMs = this.endedAtMs(process);
+    const lastMs = Math.min(attempts[0]!.fromMs, confirmedMs);
+    const cutMs = attempts.find(a => a.isCut)?.toMs ?? Infinity;
     const atMs = this.storeMsAt(lastMs);
-    if (atMs === undefined) return;
+    const untilMs = this.storeMsAt(
+      Math.max(lastMs, Math.min(cutMs, confirmedMs)),
+    );
+    if (atMs === undefined || untilMs === undefined) return;
     const key = `crash/${process}/${this.deps.instance}`;
     const known = this.unwritten.get(key) ?? this.shared.get(key);
     // A process without a time of its start may crash again under the same name.
@@ -326,6 +328,7 @@
       kind: 'crash',
       endpoint: process,
       atMs: earlier?.atMs ?? Math.round(atMs),
+      untilMs: Math.min(earlier?.untilMs ?? Infinity, Math.round(untilMs)),
       prompts: distinctPrompts([...prompts, ...(earlier?.prompts ?? [])]),
     });
     this.deps.log('warn', 'endpoint crashed with requests', {
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -759,7 +759,7 @@
   reportEnd(
     exchange: Exchange,
     endpoint: Endpoint,
-    {sentMs, fromMs, toMs, involvement}: AttemptSpan,
+    {involvement, ...span}: AttemptSpan,
   ): void {
     const {id} = endpoint;
     const found = this.catalog.endpoints.get(id);
@@ -770,9 +770,7 @@
       endpoint,
       prompt: promptOf(exchange),
       requestId: exchange.incoming.metadata.requestId,
-      sentMs,
-      fromMs,
-      toMs,
+      ...span,
       hasAnswer: involvement === 'answered',
       leavingSinceMs: isReplaced ? undefined : leavingSinceMs,
       isStalled: !isGroupOpen(this.loads, id, this.clock.elapsedMs()),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -81,6 +81,8 @@
   /** Earliest and latest time at which the endpoint may have ended it. */
   readonly fromMs: number;
   readonly toMs: number;
+  /** Whether the endpoint's side ended it before its answer was complete. */
+  readonly isCut: boolean;
   readonly involvement: Exclude<Involvement, 'none'>;
 }
 
@@ -625,7 +627,8 @@
     this.dispatcher.releaseEndpoint(this, endpoint.id, evidence);
     const involved = involvement(end);
     if (involved === 'none') return;
-    const span = {sentMs, fromMs, toMs, involvement: involved};
+    const isCut = outcome === 'broken' && !isStopped;
+    const span = {sentMs, fromMs, toMs, isCut, involvement: involved};
     this.dispatcher.reportEnd(this, endpoint, span);
   }
 
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -135,7 +135,10 @@
       readonly kind: 'crash';
       /** Id of the endpoint's process. */
       readonly endpoint: string;
+      /** The earliest time at which it may have ended. */
       readonly atMs: number;
+      /** The latest one; absent if it is the same. */
+      readonly untilMs?: number | undefined;
       /** Prompts of the requests that were there or ended shortly before. */
       readonly prompts: readonly Prompt[];
     }
--- a/src/gateway/quarantine.ts
+++ b/src/gateway/quarantine.ts
@@ -189,37 +189,46 @@
   readonly position: number;
 }
 
+/** The time between which a crash happened. */
+interface CrashSpan {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /**
- * Times of crashes by endpoint. Gateways that saw the same crash may estimate
- * its time differently.
+ * Crashes by endpoint. Gateways that saw the same crash may estimate its time
+ * differently.
  */
-type CrashTimes = globalThis.Map<string, number>;
+type CrashSpans = globalThis.Map<string, CrashSpan>;
 
 /** The part that explains the most crashes, if it explains enough of them. */
 function mostSuspect(
   quarantine: Quarantine,
   crashes: readonly Crash[],
 ): string | undefined {
-  const timesMs = new globalThis.Map<string, CrashTimes>();
+  const latestMs = latestTimes(crashes);
+  const spansOf = new globalThis.Map<string, CrashSpans>();
   const positions = new globalThis.Map<string, number>();
   for (const crash of crashes) {
     for (const prompt of crash.prompts) {
       prompt.forEach((part, position) => {
         if (!isSuspect(quarantine, crash, part)) return;
-        const times: CrashTimes = timesMs.get(part) ?? new globalThis.Map();
+        const spans: CrashSpans = spansOf.get(part) ?? new globalThis.Map();
         const {endpoint, atMs} = crash;
-        const firstMs = Math.min(atMs, times.get(endpoint) ?? Infinity);
-        timesMs.set(part, times.set(endpoint, firstMs));
+        const fromMs = Math.min(atMs, spans.get(endpoint)?.fromMs ?? Infinity);
+        const untilMs = Math.max(fromMs, latestMs.get(endpoint)!);
+        spansOf.set(part, spans.set(endpoint, {fromMs, untilMs}));
         positions.set(part, Math.max(position, positions.get(part) ?? 0));
       });
     }
   }
   let most: Suspicion | undefined;
-  for (const [part, times] of timesMs) {
+  for (const [part, spans] of spansOf) {
+    const wasCleared = quarantine.clearedMs.has(part);
     const suspicion = {
       part,
-      crashes: countDistinct(times.values()),
-      wasCleared: quarantine.clearedMs.has(part),
+      crashes: countDistinct(spans.values(), wasCleared),
+      wasCleared,
       position: positions.get(part)!,
     };
     const minCrashes = suspicion.wasCleared
@@ -247,14 +256,34 @@
   return atMs > clearedMs.get(part, -Infinity);
 }
 
-/** Number of times, without those that follow another one closely. */
-function countDistinct(timesMs: Iterable<number>): number {
+/** The latest time at which each endpoint may have crashed. */
+function latestTimes(crashes: readonly Crash[]): ReadonlyMap<string, number> {
+  const latest = new globalThis.Map<string, number>();
+  for (const {endpoint, atMs, untilMs = atMs} of crashes) {
+    latest.set(endpoint, Math.min(untilMs, latest.get(endpoint) ?? Infinity));
+  }
+  return latest;
+}
+
+/**
+ * Number of crashes, without those that follow another one closely. A part that was
+ * cleared before is more likely sound, so only crashes that can't have happened
+ * together count for it; the others count as having happened as early as possible.
+ */
+function countDistinct(
+  spans: Iterable<CrashSpan>,
+  areCertainlyApart: boolean,
+): number {
+  const ends = [...spans].map(({fromMs, untilMs}) => ({
+    fromMs,
+    untilMs: areCertainlyApart ? untilMs : fromMs,
+  }));
   let count = 0;
   let lastMs = -Infinity;
-  for (const ms of [...timesMs].sort((a, b) => a - b)) {
-    if (ms - lastMs <= SIMULTANEOUS_MS) continue;
+  for (const {fromMs, untilMs} of ends.sort((a, b) => a.untilMs - b.untilMs)) {
+    if (fromMs - lastMs <= SIMULTANEOUS_MS) continue;
     count += 1;
-    lastMs = ms;
+    lastMs = untilMs;
   }
   return count;
 }
--- a/src/gateway/recentprompts.ts
+++ b/src/gateway/recentprompts.ts
@@ -23,6 +23,8 @@
    */
   readonly fromMs: number;
   readonly toMs: number;
+  /** Whether the endpoint's side ended the attempt before its answer was complete. */
+  readonly isCut: boolean;
   /** Whether the endpoint had begun to write an answer on the prompt. */
   readonly hasAnswer: boolean;
   /** Since when the endpoint has been leaving; undefined if it isn't. */
--- a/test/attemptreports.test.ts
+++ b/test/attemptreports.test.ts
@@ -92,7 +92,7 @@
   /** Ends an attempt now, and its process soon after. */
   async function endWithProcess(): Promise<void> {
     const toMs = clock.elapsedMs();
-    const span = {sentMs: toMs - 50, fromMs: toMs, toMs};
+    const span = {sentMs: toMs - 50, fromMs: toMs, toMs, isCut: false};
     dispatcher.reportEnd(EXCHANGE, ENDPOINT, {
       ...span,
       involvement: 'answered',
@@ -129,7 +129,7 @@
     it(title, async () => {
       await wait(500);
       const toMs = clock.elapsedMs();
-      const span = {sentMs: toMs - 50, fromMs: toMs, toMs};
+      const span = {sentMs: toMs - 50, fromMs: toMs, toMs, isCut: false};
       const involvement = 'answered';
       dispatcher.reportEnd(EXCHANGE, ENDPOINT, {...span, involvement});
       await wait(1_200);
--- a/test/crashmonitor.test.ts
+++ b/test/crashmonitor.test.ts
@@ -76,6 +76,7 @@
       sentMs: nowMs - 50,
       fromMs: nowMs,
       toMs: nowMs,
+      isCut: true,
       hasAnswer: false,
       leavingSinceMs: undefined,
       isStalled: false,
@@ -244,7 +245,10 @@
   it('is seen when its answers looked complete', async () => {
     // As one without a length does, or one that was the last that a process wrote.
     const monitor = crashes.addGateway();
-    await crashThrice(crashes, monitor, ['fatal'], {hasAnswer: true});
+    await crashThrice(crashes, monitor, ['fatal'], {
+      isCut: false,
+      hasAnswer: true,
+    });
     expect(monitor.rejectedPart(['b', 'fatal'])).to.equal('fatal');
   });
 
@@ -348,13 +352,30 @@
     const atMs = crashes.clock.elapsedMs();
     monitor.recordEnd(crashes.lost(crashed, ['fatal']));
     await crashes.wait(2_000);
-    const hung = {fromMs: atMs - 20, toMs: crashes.clock.elapsedMs() + 500};
+    const toMs = crashes.clock.elapsedMs() + 500;
+    const hung = {fromMs: atMs - 20, toMs, isCut: false};
     monitor.recordEnd(crashes.lost(crashed, ['a'], hung));
     monitor.handleRegistration(endpoint('e', 2));
     await crashes.wait(100);
     expect(crashes.prompts()).to.have.deep.members([['fatal'], ['a']]);
   });
 
+  it('is dated by what it cut, or may have been as late as its confirmation', async () => {
+    const monitor = crashes.addGateway();
+    const spanOf = async (differing: Partial<EndedAttempt>) => {
+      crashes.records.clear();
+      const crashed = endpoint('e', crashes.clock.elapsedMs());
+      monitor.recordEnd(crashes.lost(crashed, ['a'], differing));
+      await crashes.wait(900);
+      monitor.handleProcessGone(crashed.address);
+      await crashes.wait(6_000);
+      const [record] = crashes.records.values();
+      return record?.kind === 'crash' ? record.untilMs! - record.atMs : NaN;
+    };
+    expect(await spanOf({isCut: true})).to.equal(0);
+    expect(await spanOf({isCut: false})).to.equal(900);
+  });
+
   it('is not seen when an endpoint leaves or its group has stopped', async () => {
     const monitor = crashes.addGateway();
     for (let i = 0; i < 5; i++) {
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -122,6 +122,23 @@
     expect(found).to.deep.equal([FATAL]);
   });
 
+  it('counts endpoints that may have crashed together once for a sound part', () => {
+    // As when a service loses all endpoints, whose last answers ended before that.
+    const lostMs = 10_000;
+    const records = Array.from({length: 12}, (_, i): CrashRecord => {
+      const atMs = lostMs - i * 400;
+      const untilMs = lostMs + i * 100;
+      return {
+        kind: 'crash',
+        endpoint: `e${i}`,
+        atMs,
+        untilMs,
+        prompts: [['a']],
+      };
+    });
+    expect(quarantined(cleared('a', 0), ...records)).to.be.empty;
+  });
+
   it('counts one crash that several gateways saw once', () => {
     // Their estimates of the store's clock may differ.
     const records = [0, 900, 1_800, 2_700].map((atMs): CrashRecord => {
