Test: a sound part with short answers, and endpoints that refuse as another process

The endpoints of this test answered requests for the process before them at their address. The checks are the same.

--- a/test/promptcrash.test.ts
+++ b/test/promptcrash.test.ts
@@ -5,6 +5,7 @@
  * endpoint has written of its answer when it crashes, and against other requests that
  * are no longer served or run twice because of it.
  */
+import http from 'node:http';
 import net from 'node:net';
 import {expect} from 'chai';
 import {waitUntil} from '../standins/binaryprocess';
@@ -45,11 +46,19 @@
   readonly framing: Framing;
   /** How many of the pieces are written before the endpoint crashes. */
   readonly writtenPieces: number;
+  /** Whether answers have one event, and the part stands before the shared one. */
+  readonly isShort?: boolean;
 }
 
 /** Forms of the answers, by what the endpoint has written when it crashes. */
 const FORMS: Readonly<Record<string, Form>> = {
   nothing: {kind: 'streaming', framing: 'chunks', writtenPieces: 0},
+  'nothing, before a part whose answers have one event': {
+    kind: 'streaming',
+    framing: 'chunks',
+    writtenPieces: 0,
+    isShort: true,
+  },
   'the head of a stream without a length': {
     kind: 'streaming',
     framing: 'connection',
@@ -114,12 +123,13 @@
   };
 }
 
-/** The head, two events and the end of an answer. */
+/** The head, the events and the end of an answer. */
 function answerPieces(
-  {framing}: Form,
+  {framing, isShort}: Form,
   arrival: ReceivedRequest,
 ): readonly string[] {
-  const events = [1, 2].map(id => `id: ${id}\ndata: x\n\n`);
+  const ids = isShort ? [1] : [1, 2];
+  const events = ids.map(id => `id: ${id}\ndata: x\n\n`);
   const framed = {
     length: `Content-Length: ${events.join('').length}`,
     chunks: 'Transfer-Encoding: chunked',
@@ -185,7 +195,9 @@
   }
 
   sendFatal(): void {
-    const send = () => void this.send([SHARED_PART, FATAL_PART]);
+    const parts = [SHARED_PART, FATAL_PART];
+    if (this.form.isShort) parts.reverse();
+    const send = () => void this.send(parts);
     this.timers.push(setInterval(send, FATAL_INTERVAL_MS));
   }
 
@@ -235,6 +247,9 @@
       state: 'ready',
     });
     endpoint.handler = (arrival, res) => {
+      // A request for the process before this one at its address.
+      if (arrival.headers['boragemill-expect-instance'] !== id)
+        return refuseMisdirected(arrival, res);
       this.arrivals.push(String(arrival.headers['boragemill-request-id']));
       const pieces = answerPieces(this.form, arrival);
       const parts = String(arrival.headers['boragemill-prefix-hash']);
@@ -255,6 +270,14 @@
   }
 }
 
+function refuseMisdirected(
+  arrival: ReceivedRequest,
+  res: http.ServerResponse,
+): void {
+  const refused = {'Boragemill-Not-Executed': '1'};
+  res.writeHead(421, {...sealedHeaders(arrival), ...refused}).end();
+}
+
 /** Writes an answer piece by piece, and closes the connection. */
 function writeInPasses(socket: net.Socket, pieces: readonly string[]): void {
   const [piece, ...others] = pieces;
